--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -10,6 +10,7 @@
 NMIN: Final = 3  # teams; floor of N in the safety check, the design's trial value
 ROUND_S: Final = 1.0  # s; longest time between two scheduling rounds, the design's trial value
 ROUND_MIN_S: Final = 0.15  # s; shortest gap between rounds, so bursts of reports share one round
+ROUND_REST: Final = 2.0  # times what a round took: at least so long is left for other work
 ESTIMATE_ALPHA: Final = 0.3  # weight of a new observation in the run-time correction of a class
 CORRECTION_MIN: Final = 0.3  # lower bound of that correction: estimates are off by half, not by 10x
 CORRECTION_MAX: Final = 3.0  # upper bound of the same
@@ -34,11 +35,17 @@
 WATCH_BLOCK_S: Final = 20.0  # s; long watches keep the request budget free
 WATCH_SLACK_S: Final = 5.0  # s; beyond the block time before a watch counts as lost
 LIST_PAGE: Final = 200  # rows; 200 pages of task records stay far below 512 KiB... per reply
-PAGE_TASKS: Final = 200  # tasks in one progress record; 200 live attempts fit 16 KiB
+PAGE_TASKS: Final = 200  # tasks in one checkpoint; 200 live attempts take 7 KB of JSON
+VALUE_SPARE_B: Final = 512  # bytes; kept free below the limits of values and commits
+COMMIT_MAX_B: Final = 64 * 1024  # bytes; a whole commit, from the protocol
+SEGMENT_PART: Final = 0.5  # of a value; a fuller segment is not added to: rewriting costs bytes
+SEGMENTS_KEPT: Final = 24  # segments in use before pages are written to free the oldest
 
 # --- fleet ------------------------------------------------------------------
 ANSWER_HOLD_S: Final = 0.8  # s; a report may wait for its room's commit; workers give up at 4 s
-SILENT_S: Final = 8.0  # s; no placing on a machine this long without a report (2 reports missed)
+# No placing on a machine that missed its reports: they come every report_s plus a quarter.
+SILENT_REPORTS: Final = 2.5  # times report_s; two late reports in a row
+SILENT_SLACK_S: Final = 0.5  # s; on top of that, for the way
 WORKER_MARGIN_S: Final = 2.0  # s; beyond lease_s before a silent machine's tasks count as dead
 SILENT_RELEASE_S: Final = 40.0  # s; a machine silent this long is returned and replaced
 SUSPECT_FAILURES: Final = 2  # failures in a row on one machine before it is replaced
@@ -57,6 +64,7 @@
 RENT_MAX: Final = 50  # machines per request, from the protocol
 RELEASE_MAX: Final = 100  # names per request, from the protocol
 PREEMPT_WAIT_S: Final = 4.0  # s; urgent work that waits less gains nothing by stopping others
+PREEMPT_EVERY_S: Final = 1.0  # s; looking for room to be made costs more than placing
 PREEMPT_RATIO: Final = 1.0  # work a stop may lose, over the work that it lets start
 ROUND_TASKS: Final = 500  # tasks of one job looked at per round; a round must stay short
 RESERVE_PART: Final = 0.25  # of the machines, that waiting granted work may keep for itself
@@ -66,7 +74,7 @@
 STAY_S: Final = 180.0  # s; about how long a machine serves, to spread the price of its boot
 DEAR_WAIT_S: Final = 60.0  # s; work that would wait longer may use dearer pools
 OVERDUE_PART: Final = 0.3  # of what an overdue task has run: how long it is expected to go on
-UNSEEN_RELEASE_S: Final = 8.0  # s; attempts on a machine neither listed nor heard from
+PLAN_STEP_S: Final = 0.5  # s; CPUs that come free within such a step are planned as one
 
 # --- peers and intake --------------------------------------------------------
 NETSTRING_MAX: Final = 1 << 20  # bytes; the longest message a peer may send
--- a/src/chalkgrade/fleet.py
+++ b/src/chalkgrade/fleet.py
@@ -15,6 +15,7 @@
 from chalkgrade import constants
 from chalkgrade.jobs import Attempt
 from chalkgrade.outside import Clock
+from chalkgrade.shares import Vector, minus, plus
 
 log = logging.getLogger("chalkgrade.fleet")
 
@@ -67,6 +68,9 @@
     addr: str = ""
 
 
+NOTHING: Vector = (0.0, 0.0, 0.0)
+
+
 class Machine:
     """One machine as the leader knows it."""
 
@@ -83,6 +87,7 @@
         self.answered_at: float | None = None  # when we last may have renewed its lease
         self.tasks: dict[tuple[str, int], TaskReport] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.used: Vector = NOTHING  # what the attempts of the book take
         self.warned = False
         self.listed_at: float | None = None  # when a list that names it was first asked for
         self.status = ""
@@ -93,6 +98,18 @@
         self.releasing = False
         self.busy_at = now  # when it last had work
 
+    def attach(self, attempt: Attempt) -> None:
+        """An attempt of the book may be here from now on."""
+        self.attempts[attempt.name, attempt.number] = attempt
+        self.used = plus(self.used, attempt.job.spec.room)
+
+    def detach(self, attempt: Attempt) -> None:
+        """An attempt is surely not here any more."""
+        if self.attempts.pop((attempt.name, attempt.number), None) is not None:
+            # An empty machine uses exactly nothing: sums of fractions would drift.
+            left = minus(self.used, attempt.job.spec.room)
+            self.used = left if self.attempts else NOTHING
+
     def strangers(self) -> list[TaskReport]:
         """Reported tasks that are not over and that the book does not put here."""
         return [
@@ -105,10 +122,11 @@
 class Fleet:
     """All machines known under one token."""
 
-    def __init__(self, clock: Clock, token: int, lease_s: float) -> None:
+    def __init__(self, clock: Clock, token: int, lease_s: float, report_s: float) -> None:
         self._clock = clock
         self.token = token
         self.lease_s = lease_s
+        self.silent_s = constants.SILENT_REPORTS * report_s + constants.SILENT_SLACK_S
         self.machines: dict[str, Machine] = {}
         self.gone: dict[str, None] = {}  # surely gone: old reports and lists must not revive them
 
@@ -125,7 +143,7 @@
     def hold(self, attempt: Attempt) -> None:
         """Put an attempt on its machine, which may be known only by that."""
         machine = self.machine(attempt.machine, "", "", False)
-        machine.attempts[attempt.name, attempt.number] = attempt
+        machine.attach(attempt)
 
     def take(self, report: Report) -> Machine | None:
         """Take in a report; None when it is older than what is known, or from the dead."""
@@ -177,13 +195,18 @@
 
     def usable(self, machine: Machine) -> bool:
         """Whether work may be placed on it now."""
+        return machine.reported_at is not None and self.ours(machine) and self.hopeful(machine)
+
+    def hopeful(self, machine: Machine) -> bool:
+        """Whether a machine serves, or will once it is up: not going, sick or silent."""
         return (
-            machine.reported_at is not None
-            and self.ours(machine)
-            and not machine.releasing
+            not machine.releasing
             and not machine.warned
             and machine.failures < constants.SUSPECT_FAILURES
-            and self._clock.now() - machine.reported_at < constants.SILENT_S
+            and (
+                machine.reported_at is None
+                or self._clock.now() - machine.reported_at < self.silent_s
+            )
         )
 
     def drop(self, machine: Machine) -> list[Attempt]:
--- a/src/chalkgrade/jobs.py
+++ b/src/chalkgrade/jobs.py
@@ -2,19 +2,22 @@
 
 Keys in the state service:
 - cg/job/ID: a job that is not over (its submission, and whether it was aborted);
-- cg/task/ID/PAGE: progress of 200 of its tasks: what is done, what may be running;
+- cg/log/N: what happened to tasks lately, of all jobs (`oplog`);
+- cg/task/ID/PAGE: a checkpoint of some of its tasks: what is done, what may be running;
 - cg/end/ID: the final state, kept for ever.
 A job moves from the first to the last in one commit, so at every revision an
 accepted job is found under exactly one of them.
 """
 
+import heapq
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any, Literal
 
 import msgspec
 
 from chalkgrade import constants
+from chalkgrade.oplog import DONE, OVER, Op, OpLog
 from chalkgrade.outside import encode
 
 JOB_PREFIX = "cg/job/"
@@ -97,24 +100,28 @@
 
 
 class PageValue(msgspec.Struct):
-    """The value under cg/task/: next try, ranges of done tasks, live attempts."""
+    """The value under cg/task/: next try, ranges of done tasks, live attempts.
+
+    It holds all that the log said up to the entry `u`.
+    """
 
     n: int = 1
     d: list[tuple[int, int]] = []
     l: dict[int, tuple[int, str]] = {}  # noqa: E741 - one letter: it is stored per page
+    u: int = 0
 
 
 class Attempt:
     """One try of one task on one machine, as long as it may be there."""
 
-    __slots__ = ("job", "index", "number", "machine", "rev", "sent", "state", "kill_at", "since")
+    __slots__ = ("job", "index", "number", "machine", "op", "sent", "state", "kill_at", "since")
 
-    def __init__(self, job: "Job", index: int, number: int, machine: str, rev: int) -> None:
+    def __init__(self, job: "Job", index: int, number: int, machine: str, op: int) -> None:
         self.job = job
         self.index = index
         self.number = number
         self.machine = machine
-        self.rev = rev  # page revision that makes it durable
+        self.op = op  # the operation of the log that makes it durable
         self.sent: tuple[int, int] | None = None  # report answered with its launch
         self.state = ""  # as last reported; "" while it was never seen
         self.kill_at: float | None = None  # since when we want it stopped
@@ -126,33 +133,28 @@
 
     @property
     def durable(self) -> bool:
-        return self.job.page_of(self.index).durable >= self.rev
+        return self.job.log.durable >= self.op
 
 
 class Page:
-    """Progress of a slice of a job's tasks; memory runs ahead of the durable record."""
+    """A slice of a job's tasks: the unit of checkpoints."""
 
-    __slots__ = ("key", "next", "done", "live", "rev", "durable", "stamp", "ended")
+    __slots__ = ("key", "next", "done", "live", "stamp", "upto")
 
     def __init__(self, key: str) -> None:
         self.key = key
         self.next = 1
         self.done: set[int] = set()
         self.live: dict[int, Attempt] = {}
-        self.rev = 0
-        self.durable = 0
         self.stamp = 0
-        self.ended: dict[tuple[int, int], int] = {}  # attempts over, until that is durable
-
-    @property
-    def dirty(self) -> bool:
-        return self.rev > self.durable
+        self.upto = 0  # the entry of the log up to which the durable record goes
 
-    def value(self) -> PageValue:
+    def value(self, upto: int) -> PageValue:
         return PageValue(
             self.next,
             _ranges(self.done),
             {index: (a.number, a.machine) for index, a in self.live.items()},
+            upto,
         )
 
 
@@ -166,17 +168,68 @@
     return out
 
 
+class Waiting:
+    """The tasks of a job without an attempt, the lowest number first.
+
+    An interrupted task comes back before those that were never started. Each
+    step costs no more than the logarithm of the job's size.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._heap = list(range(count))  # may hold numbers that do not wait any more
+        self._members = set(self._heap)
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __contains__(self, index: int) -> bool:
+        return index in self._members
+
+    def __iter__(self) -> Iterator[int]:
+        return iter(sorted(self._members))
+
+    def add(self, index: int) -> None:
+        if index not in self._members:
+            self._members.add(index)
+            heapq.heappush(self._heap, index)
+
+    def remove(self, index: int) -> bool:
+        """Whether it was waiting."""
+        if index not in self._members:
+            return False
+        self._members.remove(index)
+        return True
+
+    def first(self, skip: set[int]) -> int | None:
+        """The lowest number that waits and is not to be skipped."""
+        passed = []
+        found = None
+        while self._heap:
+            index = self._heap[0]
+            if index not in self._members:
+                heapq.heappop(self._heap)
+            elif index in skip:
+                passed.append(heapq.heappop(self._heap))
+            else:
+                found = index
+                break
+        for index in passed:
+            heapq.heappush(self._heap, index)
+        return found
+
+
 class Job:
     """A job that is not over, in the leader's memory."""
 
-    def __init__(self, value: JobValue, stamp: int) -> None:
+    def __init__(self, value: JobValue, stamp: int, log: OpLog) -> None:
         self.spec = value.spec
+        self.log = log
         self.at = value.at
         self.aborted = value.aborted  # durable, so users may hear it
         self.aborting = False  # being made durable: nothing may be launched any more
         self.stamp = stamp
         self.pages: dict[int, Page] = {}
-        self.waiting: dict[int, None] = dict.fromkeys(range(self.spec.tasks))
+        self.waiting = Waiting(self.spec.tasks)
         self.done = 0
         self.live: dict[int, Attempt] = {}
         self.failures = 0  # failed attempts in a row
@@ -195,35 +248,62 @@
             page = self.pages[number] = Page(f"{TASK_PREFIX}{self.name}/{number}")
         return page
 
-    def load_page(self, number: int, value: PageValue, stamp: int) -> list[Attempt]:
-        """Take over a durable page; returns its live attempts."""
+    def load_page(self, number: int, value: PageValue, stamp: int) -> None:
+        """Take over a checkpoint."""
         page = self.page_of(number * constants.PAGE_TASKS)
-        page.next, page.stamp = value.n, stamp
+        page.next, page.stamp, page.upto = value.n, stamp, value.u
         for low, high in value.d:
             for index in range(low, high + 1):
-                page.done.add(index)
-                if self.waiting.pop(index, 0) is None:
-                    self.done += 1
+                self._done(page, index)
         for index, (try_number, machine) in value.l.items():
-            attempt = Attempt(self, index, try_number, machine, 0)
-            page.live[index] = self.live[index] = attempt
-            self.waiting.pop(index, None)
-        return list(page.live.values())
+            self._live(page, Attempt(self, index, try_number, machine, 0))
+
+    def replay(self, lsn: int, ops: list[tuple[int, int, str | int]]) -> set[int]:
+        """Take over what the log says; the pages that it tells something new."""
+        told = set()
+        for index, number, what in ops:
+            page = self.page_of(index)
+            if lsn <= page.upto:
+                continue
+            told.add(index // constants.PAGE_TASKS)
+            if isinstance(what, str):
+                page.next = max(page.next, number + 1)
+                self._live(page, Attempt(self, index, number, what, 0))
+                continue
+            attempt = page.live.get(index)
+            if attempt is not None and attempt.number == number:
+                self._over(page, attempt, what == DONE)
+        return told
+
+    def _live(self, page: Page, attempt: Attempt) -> None:
+        page.live[attempt.index] = self.live[attempt.index] = attempt
+        self.waiting.remove(attempt.index)
+
+    def _done(self, page: Page, index: int) -> None:
+        page.done.add(index)
+        self.waiting.remove(index)
+        self.done += 1
+
+    def _over(self, page: Page, attempt: Attempt, done: bool) -> None:
+        del page.live[attempt.index], self.live[attempt.index]
+        if done:
+            self._done(page, attempt.index)
+        else:
+            self.waiting.add(attempt.index)
 
     def next_try(self) -> int:
         """A try number that no task of the job has had: a gang's tasks share one."""
         return max((page.next for page in self.pages.values()), default=1)
 
     def place(self, index: int, machine: str, number: int | None = None) -> Attempt:
-        """Decide an attempt; it may be launched once its page is durable."""
+        """Decide an attempt; it may be launched once the log holds it."""
         page = self.page_of(index)
-        page.rev += 1
         if number is None:
             number = page.next
-        attempt = Attempt(self, index, number, machine, page.rev)
+        op = self.log.add(Op(self.name, index, number, machine))
+        attempt = Attempt(self, index, number, machine, op)
         page.next = number + 1
-        page.live[index] = self.live[index] = attempt
-        del self.waiting[index]
+        self._live(page, attempt)
         return attempt
 
     def finish(self, attempt: Attempt, done: bool) -> None:
@@ -231,15 +311,9 @@
         page = self.page_of(attempt.index)
         if page.live.get(attempt.index) is not attempt:
             return
-        page.rev += 1
-        del page.live[attempt.index], self.live[attempt.index]
-        page.ended[attempt.index, attempt.number] = page.rev
-        if done and self.spec.shape != "service":
-            page.done.add(attempt.index)
-            self.done += 1
-        else:
-            # Back to the front: an interrupted task is older than those never started.
-            self.waiting = {attempt.index: None, **self.waiting}
+        done = done and self.spec.shape != "service"
+        self.log.add(Op(self.name, attempt.index, attempt.number, DONE if done else OVER))
+        self._over(page, attempt, done)
 
     @property
     def complete(self) -> bool:
--- a/src/chalkgrade/node.py
+++ b/src/chalkgrade/node.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from chalkgrade import constants
-from chalkgrade.controller import FLAVORS_KEY, FlavorsValue, Term
+from chalkgrade.book import FLAVORS_KEY, FlavorsValue
+from chalkgrade.controller import Term
 from chalkgrade.fleet import Flavor, Report
 from chalkgrade.intake import LATER, Answer, Intake
 from chalkgrade.jobs import Invalid, parse_submission
--- /dev/null
+++ b/src/chalkgrade/oplog.py
@@ -0,0 +1,178 @@
+"""The write-ahead log of attempts: many tasks' changes in one change of the state service.
+
+The state service counts changes, not bytes. So what happens to tasks is not
+written to one record per job: all of it, of all jobs, is appended to the
+current segment of a log, which costs one change a commit however many tasks it
+carries. Pages of jobs (`jobs.Page`) are checkpoints, written only when a
+segment is to be used again while its job still runs; most jobs end before.
+
+A segment is used again once nothing in it counts any more: each of its jobs is
+over or each of the pages it names has been written since. Its old content may
+be read until it is overwritten, and is told apart by its numbers.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import msgspec
+
+from chalkgrade import constants
+from chalkgrade.outside import encode
+
+LOG_PREFIX = "cg/log/"
+DONE, OVER = 1, 0  # what an attempt's end was: the task is done, or waits again
+
+PageName = tuple[str, int]  # job, number of the page
+
+
+class Op(NamedTuple):
+    """An attempt is decided (`what`: its machine) or over (`DONE`, `OVER`)."""
+
+    job: str
+    task: int
+    number: int
+    what: str | int
+
+
+class Entry(msgspec.Struct, array_like=True):
+    """What one commit added, grouped by job: `[index, try, what]` in order."""
+
+    lsn: int
+    jobs: list[tuple[str, list[tuple[int, int, str | int]]]]
+
+
+class SegmentValue(msgspec.Struct):
+    """The value under cg/log/."""
+
+    e: list[Entry] = []
+
+
+@dataclass
+class Segment:
+    """One key of the log, as the leader knows it."""
+
+    key: str
+    stamp: int = 0
+    refs: set[PageName] = field(default_factory=set)  # pages whose latest is only in the log
+    entries: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+@dataclass
+class Flush:
+    """What one commit adds to the log."""
+
+    segment: Segment
+    fresh: bool  # the segment begins anew
+    entry: bytes
+    lsn: int
+    count: int
+    refs: set[PageName]
+
+    @property
+    def value(self) -> msgspec.Raw:
+        entries = [self.entry] if self.fresh else [*self.segment.entries, self.entry]
+        return msgspec.Raw(b'{"e":[' + b",".join(entries) + b"]}")
+
+
+class OpLog:
+    """The leader's side of the log: what is pending, durable, and still needed."""
+
+    def __init__(self, value_kb: float) -> None:
+        self._limit = int(value_kb * 1024) - constants.VALUE_SPARE_B
+        self.pending: deque[Op] = deque()
+        self.appended = 0  # operations so far; an operation's number is this after it
+        self.durable = 0  # operations that are surely kept
+        self.ended: dict[tuple[str, int], int] = {}  # (task, try) over, until that is durable
+        self.lsn = 0
+        self.segments: dict[str, Segment] = {}  # in use, the oldest first
+        self.free: list[Segment] = []
+        self._current: Segment | None = None
+
+    def add(self, op: Op) -> int:
+        """Append an operation; its number tells when it is durable."""
+        self.pending.append(op)
+        self.appended += 1
+        if isinstance(op.what, int):
+            self.ended[f"{op.job}/{op.task}", op.number] = self.appended
+        return self.appended
+
+    def take(self) -> Flush | None:
+        """The next commit's part: as many pending operations as fit one value."""
+        if not self.pending:
+            return None
+        grouped: dict[str, list[tuple[int, int, str | int]]] = {}
+        refs: set[PageName] = set()
+        size, count = 40, 0
+        for op in self.pending:
+            cost = 16 + len(str(op.task)) + len(str(op.number)) + len(str(op.what))
+            if op.job not in grouped:
+                cost += len(op.job) + 8
+            if size + cost > self._limit:
+                break
+            grouped.setdefault(op.job, []).append((op.task, op.number, op.what))
+            refs.add((op.job, op.task // constants.PAGE_TASKS))
+            size, count = size + cost, count + 1
+        entry = encode(Entry(self.lsn + 1, list(grouped.items())))
+        segment = self._current
+        fresh = segment is None or segment.size + len(entry) + 1 > self._limit
+        if segment is None or fresh:
+            segment = self.free.pop() if self.free else Segment(self._new_key())
+        return Flush(segment, fresh, entry, self.lsn + 1, count, refs)
+
+    def _new_key(self) -> str:
+        return f"{LOG_PREFIX}{len(self.segments) + len(self.free):06d}"
+
+    def saved(self, flush: Flush, revision: int) -> None:
+        """A commit's part is durable."""
+        segment = flush.segment
+        if flush.fresh:
+            if self._current is not None:
+                self._current.entries.clear()
+            segment.entries, segment.size, segment.refs = [], 0, set()
+            self._current = self.segments[segment.key] = segment
+        segment.stamp = revision
+        segment.entries.append(flush.entry)
+        segment.size += len(flush.entry) + 1
+        if segment.size > self._limit * constants.SEGMENT_PART:
+            segment.entries.clear()  # full enough: never written again with this content
+            self._current = None
+        segment.refs |= flush.refs
+        self.lsn = flush.lsn
+        for _ in range(flush.count):
+            self.pending.popleft()
+        self.durable += flush.count
+        for key, number in list(self.ended.items()):
+            if number > self.durable:
+                break
+            del self.ended[key]
+
+    def forget(self, pages: set[PageName]) -> None:
+        """These pages need nothing from the log any more: written, or their job is over."""
+        for segment in list(self.segments.values()):
+            segment.refs -= pages
+            if not segment.refs and segment is not self._current:
+                del self.segments[segment.key]
+                self.free.append(segment)
+
+    def stale(self) -> Iterator[PageName]:
+        """The pages to be written so that the oldest segments can be used again."""
+        over = len(self.segments) - constants.SEGMENTS_KEPT
+        for segment in list(self.segments.values())[: max(0, over)]:
+            yield from sorted(segment.refs)
+
+    def load(self, rows: list[tuple[str, int, SegmentValue]]) -> list[tuple[int, Segment, Entry]]:
+        """Take over the segments of earlier leaders; all entries in their order."""
+        found: list[tuple[int, Segment, Entry]] = []
+        first: dict[str, int] = {}
+        made: dict[str, Segment] = {}
+        for key, stamp, value in rows:
+            made[key] = Segment(key, stamp)
+            first[key] = min((entry.lsn for entry in value.e), default=0)
+            found += [(entry.lsn, made[key], entry) for entry in value.e]
+        self.segments = {key: made[key] for key in sorted(made, key=lambda k: first[k])}
+        found.sort(key=lambda row: row[0])
+        self.lsn = found[-1][0] if found else 0
+        return found
--- a/src/chalkgrade/outside.py
+++ b/src/chalkgrade/outside.py
@@ -56,6 +56,26 @@
         raise NoAnswer(f"nonsense: {error}") from None
 
 
+class Signal:
+    """Something that happens again and again; all who wait share one wake-up."""
+
+    def __init__(self) -> None:
+        self._next: asyncio.Future[None] | None = None
+
+    def fire(self) -> None:
+        if self._next is not None:
+            self._next.set_result(None)
+            self._next = None
+
+    async def wait(self, timeout: float) -> bool:
+        """Whether it happened, after this call, in time."""
+        if self._next is None:
+            self._next = asyncio.get_running_loop().create_future()
+        # Shielded by `wait`: a waiter that gives up must not cancel the others.
+        done, _ = await asyncio.wait({self._next}, timeout=max(0.0, timeout))
+        return bool(done)
+
+
 class Bucket:
     """A token bucket: `rate` a second, with bursts of `burst`."""
 
--- a/src/chalkgrade/placement.py
+++ b/src/chalkgrade/placement.py
@@ -6,7 +6,8 @@
 whole machines stay free for whole-machine tasks.
 """
 
-from collections.abc import Iterable
+import heapq
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from chalkgrade.jobs import JobSpec
@@ -41,7 +42,15 @@
     pull_gb_s: float = 1.0
     strain: int = 0  # failures of late; the healthiest machine is taken first
     fetching: set[str] = field(default_factory=set)
-    occupants: list[Occupant] = field(default_factory=list)
+    look: Callable[[], list[Occupant]] = list  # asked only where room is to be made
+    touched: bool = False  # something was placed here in this round
+    seen: list[Occupant] | None = None
+
+    @property
+    def occupants(self) -> list[Occupant]:
+        if self.seen is None:
+            self.seen = self.look()
+        return self.seen
 
 
 def allowed(spec: JobSpec, hosttype: str, site: str, standby: bool) -> bool:
@@ -87,13 +96,58 @@
             continue
         if not allowed(spec, slot.hosttype, slot.site, slot.standby):
             continue
-        left = (slot.free[0] - spec.vcpus) / max(slot.total[0], 1e-9)
-        key = (slot.strain, fetch_s(spec, slot), left)
+        key = rank(spec, slot)
         if best is None or key < best_key:
             best, best_key = slot, key
     return best
 
 
+class Picker:
+    """The best machines for one job's tasks, one after the other.
+
+    The same choices as `choose` before each task: taking a slot changes only
+    that slot's rank, so the others are looked at once, not once a task.
+    """
+
+    def __init__(self, spec: JobSpec, slots: Iterable[Slot], avoid: Iterable[str] = ()) -> None:
+        self._spec = spec
+        shunned = set(avoid)
+        self._heap: list[tuple[tuple[float, ...], int, Slot]] = []
+        # Slots come in few kinds: whether a job may use one is asked once a kind.
+        may: dict[tuple[str, str, bool], bool] = {}
+        for number, slot in enumerate(slots):
+            if not fits(spec.room, slot.free) or slot.name in shunned:
+                continue
+            kind = (slot.hosttype, slot.site, slot.standby)
+            if kind not in may:
+                may[kind] = allowed(spec, *kind)
+            if may[kind]:
+                self._heap.append((rank(spec, slot), number, slot))
+        heapq.heapify(self._heap)
+
+    def take(self, zones: Callable[[], set[str]]) -> Slot | None:
+        """The best slot within the zones now open; its room is taken."""
+        while self._heap:
+            _, number, slot = self._heap[0]
+            if slot.site not in zones():
+                # A zone never opens again while a job's tasks are placed.
+                heapq.heappop(self._heap)
+                continue
+            occupy(slot, self._spec)
+            if fits(self._spec.room, slot.free):
+                heapq.heapreplace(self._heap, (rank(self._spec, slot), number, slot))
+            else:
+                heapq.heappop(self._heap)
+            return slot
+        return None
+
+
+def rank(spec: JobSpec, slot: Slot) -> tuple[float, ...]:
+    """What makes one machine better than another for a task: the least wins."""
+    left = (slot.free[0] - spec.vcpus) / max(slot.total[0], 1e-9)
+    return slot.strain, fetch_s(spec, slot), left
+
+
 def choose_all(
     spec: JobSpec,
     count: int,
@@ -126,6 +180,7 @@
 def occupy(slot: Slot, spec: JobSpec) -> None:
     """Take a task's room from a slot."""
     slot.free = minus(slot.free, spec.room)
+    slot.touched = True
     if spec.bundle not in slot.images:
         slot.fetching.add(spec.bundle)
 
@@ -142,6 +197,64 @@
     return float("inf")
 
 
+class Offers:
+    """Where room can be made for one shape of work, the least loss first.
+
+    Every slot is looked at once; an offer is worked out again only when it is
+    about to be taken, since stopping work elsewhere uses up what a team has in
+    excess.
+    """
+
+    def __init__(
+        self, spec: JobSpec, slots: Iterable[Slot], own: bool, excess: dict[str, Vector] | None
+    ) -> None:
+        self._spec, self._own, self._excess = spec, own, excess
+        self._heap: list[tuple[float, str, Slot]] = []
+        for slot in slots:
+            found = self._found(slot)
+            if found:
+                self._heap.append((_loss(found), slot.name, slot))
+        heapq.heapify(self._heap)
+
+    def _found(self, slot: Slot) -> list[Occupant] | None:
+        excess = None if self._excess is None else dict(self._excess)
+        return victims(self._spec, slot, self._own, excess)
+
+    def take(
+        self, open_slot: Callable[[Slot], bool], most: float
+    ) -> tuple[Slot, list[Occupant]] | None:
+        """The cheapest offer on a slot open to the asker that loses at most so much.
+
+        What its tasks hold is no excess any more. Offers on slots that are
+        closed to this asker stay for others of the same shape.
+        """
+        kept: list[tuple[float, str, Slot]] = []
+        taken: tuple[Slot, list[Occupant]] | None = None
+        while self._heap and taken is None:
+            entry = heapq.heappop(self._heap)
+            lost, name, slot = entry
+            if not open_slot(slot):
+                kept.append(entry)
+                continue
+            found = self._found(slot)
+            if not found:
+                continue
+            if _loss(found) > lost:
+                heapq.heappush(self._heap, (_loss(found), name, slot))
+                continue
+            if lost > most:
+                kept.append(entry)
+                break
+            taken = slot, victims(self._spec, slot, self._own, self._excess) or []
+        for entry in kept:
+            heapq.heappush(self._heap, entry)
+        return taken
+
+
+def _loss(found: list[Occupant]) -> float:
+    return sum(victim.lost for victim in found)
+
+
 def victims(
     spec: JobSpec, slot: Slot, own: bool, excess: dict[str, Vector] | None = None
 ) -> list[Occupant] | None:
--- /dev/null
+++ b/src/chalkgrade/queues.py
@@ -0,0 +1,136 @@
+"""The state of `shares`: what is known of each queue, and what follows for its jobs.
+
+A queue is a team's jobs of one class. Its declaration is derived from what is
+submitted (paper, 3.5), its estimates are corrected by the run times observed.
+One record of all queues is kept in the state service across leaders.
+"""
+
+import msgspec
+
+from chalkgrade import constants
+from chalkgrade.jobs import Job
+from chalkgrade.outside import Clock
+from chalkgrade.settings import Settings
+from chalkgrade.shares import Declaration, Vector
+
+SHARES_KEY = "cg/shares"
+ZERO: Vector = (0.0, 0.0, 0.0)
+
+
+class QueueRecord(msgspec.Struct):
+    """What is kept of a queue across leaders."""
+
+    burst: Vector = ZERO  # amount-seconds a burst asks for, smoothed
+    period: float = 0.0  # s between bursts, smoothed
+    deadline: float = 0.0  # s a burst has, smoothed; 0: a batch queue
+    correction: float = 1.0  # observed run time over the owner's estimate
+    last: float = 0.0  # wall time of the last submission
+    kind: str = "elastic"
+
+
+class Shares(msgspec.Struct):
+    queues: dict[str, QueueRecord] = {}
+
+
+def queue_name(job: Job) -> str:
+    return f"{job.spec.owner}/{job.spec.jobclass}"
+
+
+class Queues:
+    """All queues' records, and the estimates that rounds and renting share."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.shares = Shares()
+        self.stamp = 0
+        self.dirty = False
+        self.peak_room: Vector = ZERO  # the most room seen to report: C in admission
+
+    def record(self, job: Job) -> QueueRecord:
+        return self.shares.queues.setdefault(queue_name(job), QueueRecord())
+
+    def observe_submission(self, job: Job) -> None:
+        """Derive a queue's declaration from what is submitted."""
+        record, spec = self.record(job), job.spec
+        work = spec.tasks * max(spec.expectedS, 1.0) * record.correction
+        burst = tuple(amount * work for amount in spec.room)
+        alpha = constants.ESTIMATE_ALPHA
+        gap = max(constants.DECLARATION_MIN_GAP_S, job.at - record.last)
+        due = spec.dueS or 0.0
+        if record.last == 0.0:
+            record.burst, record.deadline = burst, due
+            record.period = max(due, constants.DECLARATION_MIN_GAP_S)
+        else:
+            mixed = [
+                old + alpha * (new - old) for old, new in zip(record.burst, burst, strict=True)
+            ]
+            record.burst = (mixed[0], mixed[1], mixed[2])
+            record.period += alpha * (gap - record.period)
+            record.deadline += alpha * (due - record.deadline)
+        record.last = job.at
+
+    def observe_run(self, job: Job, seconds: float) -> None:
+        if job.spec.expectedS <= 0:
+            return
+        record = self.record(job)
+        ratio = seconds / job.spec.expectedS
+        ratio = min(constants.CORRECTION_MAX, max(constants.CORRECTION_MIN, ratio))
+        # Runs of one job are alike: each counts as part of one observation.
+        alpha = constants.ESTIMATE_ALPHA / job.spec.tasks
+        record.correction += alpha * (ratio - record.correction)
+
+    def declarations(self) -> dict[str, Declaration | None]:
+        out: dict[str, Declaration | None] = {}
+        for name, record in self.shares.queues.items():
+            bursty = record.deadline > 0 and record.period > 0
+            out[name] = (
+                Declaration(record.burst, record.period, record.deadline) if bursty else None
+            )
+        for burst in self.settings.operator.bursts:
+            demand = (burst.cpu_seconds, 0.0, 0.0)
+            out[f"{burst.team}/{burst.jobclass}"] = Declaration(
+                demand, burst.period_s, burst.deadline_s
+            )
+        return out
+
+    def run_s(self, job: Job) -> float:
+        """Expected run time of one task, corrected by what was observed."""
+        record = self.shares.queues.get(queue_name(job))
+        return max(1.0, job.spec.expectedS * (record.correction if record else 1.0))
+
+    def order(self, job: Job) -> tuple[float, ...]:
+        """Urgency first; then bursts that can still meet a bound, shortest remaining first.
+
+        Step 5 serves a soft burst until its deadline: past it, a burst yields to
+        those that can still be met. Batch jobs keep their order of arrival.
+        """
+        age = self.clock.wall() - job.at
+        run_s = self.run_s(job)
+        bounds = self.bounds(job)
+        missed = sum(1 for bound in bounds if age + run_s > bound)
+        remaining = 0.0
+        if job.spec.dueS is not None and missed < len(bounds):
+            remaining = (len(job.waiting) + len(job.live)) * run_s * max(job.spec.vcpus, 1e-3)
+        return -job.spec.rank, missed, remaining, job.at
+
+    def bounds(self, job: Job) -> list[float]:
+        """The times from submission by which the users count a job as served."""
+        aims = [a for a in self.settings.cluster.objectives if a.jobclass == job.spec.jobclass]
+        if job.spec.dueS is not None:
+            due = job.spec.dueS
+            return [due * a.times for a in aims if a.kind == "deadline"] or [due]
+        return [a.within_s for a in aims if a.kind == "finished"]
+
+    def due_s(self, job: Job) -> float:
+        """When a job should be over, from its submission: its own word or its class's aims."""
+        due = job.spec.dueS if job.spec.dueS is not None else float("inf")
+        for aim in self.settings.cluster.objectives:
+            if aim.jobclass == job.spec.jobclass and aim.within_s > 0:
+                extra = self.run_s(job) if aim.kind == "wait" else 0.0
+                due = min(due, aim.within_s + extra)
+        return due
+
+    def slack(self, job: Job) -> float:
+        """How long a job's tasks can wait without missing its deadline."""
+        return self.due_s(job) - (self.clock.wall() - job.at) - self.run_s(job)
--- a/src/chalkgrade/rentals.py
+++ b/src/chalkgrade/rentals.py
@@ -20,6 +20,7 @@
 from chalkgrade.placement import allowed
 
 Pool = tuple[str, str, bool]  # type, zone, spot
+BOTH = (True, False)  # spot and ordinary
 
 
 class Flavors(msgspec.Struct):
@@ -116,10 +117,50 @@
 
 @dataclass
 class Have:
-    """A machine there or on its way: when each of its CPUs is free next."""
+    """A machine there or on its way: when how many of its CPUs are free next."""
 
     pool: Pool
-    free_in: list[float]
+    free_in: list[tuple[float, int]]
+
+
+class _Lanes:
+    """CPUs by pool and by the time at which they come free, in steps of a moment.
+
+    Counted, not listed: a plan for thousands of tasks must not take a step each.
+    """
+
+    def __init__(self, have: Iterable[Have]) -> None:
+        counts: dict[tuple[Pool, float], int] = {}
+        for machine in have:
+            for free, cpus in machine.free_in:
+                step = math.ceil(free / constants.PLAN_STEP_S) * constants.PLAN_STEP_S
+                counts[machine.pool, step] = counts.get((machine.pool, step), 0) + cpus
+        self.pools: dict[Pool, list[tuple[float, int]]] = {}
+        for (pool, free), cpus in counts.items():
+            self.add(pool, free, cpus)
+
+    def add(self, pool: Pool, free: float, cpus: int) -> None:
+        if cpus > 0:
+            heapq.heappush(self.pools.setdefault(pool, []), (free, cpus))
+
+    def take(self, usable: list[Pool], cpus: int) -> list[tuple[Pool, float, int]]:
+        """The first CPUs to come free in these pools: so many, or all there are."""
+        out: list[tuple[Pool, float, int]] = []
+        while cpus > 0:
+            heads = [(self.pools[p][0][0], p) for p in usable if self.pools.get(p)]
+            if not heads:
+                break
+            free, pool = min(heads)
+            _, count = heapq.heappop(self.pools[pool])
+            self.add(pool, free, count - cpus)
+            out.append((pool, free, min(count, cpus)))
+            cpus -= min(count, cpus)
+        return out
+
+    def first(self, usable: list[Pool]) -> int:
+        """How many CPUs come free at the same time as the first one."""
+        heads = [(*self.pools[p][0], p) for p in usable if self.pools.get(p)]
+        return min(heads)[1] if heads else 0
 
 
 def per_machine(spec: JobSpec, flavor: Flavor) -> int:
@@ -152,7 +193,7 @@
         if count < 1:
             continue
         for site in flavor.sites:
-            for standby in (True, False):
+            for standby in BOTH:
                 pool = (flavor.sku, site, standby)
                 if not allowed(spec, *pool):
                     continue
@@ -181,39 +222,37 @@
     would start; where a task would wait longer than its job's patience, and
     longer than a new machine takes to boot, a machine is added.
     """
-    lanes = [(free, number, h.pool) for number, h in enumerate(have) for free in h.free_in]
+    lanes = _Lanes(have)
     shut = set(blocked)
     out: dict[Pool, int] = {}
     for need in needs:
         spec, left = need.spec, need.tasks
         width = max(1, math.ceil(spec.vcpus - 1e-9))
-        usable = [lane for lane in lanes if allowed(spec, *lane[2])]
-        lanes = [lane for lane in lanes if not allowed(spec, *lane[2])]
-        heapq.heapify(usable)
+        every = {(f.sku, site, spot) for f in flavors.values() for site in f.sites for spot in BOTH}
+        usable = sorted(pool for pool in every | set(lanes.pools) if allowed(spec, *pool))
         while left > 0:
-            taken = [heapq.heappop(usable) for _ in range(min(width, len(usable)))]
-            start = taken[-1][0] if len(taken) == width else float("inf")
+            # Tasks that start at the same moment are laid at once.
+            tasks = max(1, min(left, lanes.first(usable) // width))
+            taken = lanes.take(usable, tasks * width)
+            full = sum(cpus for _, _, cpus in taken) == tasks * width
+            start = max(free for _, free, _ in taken) if full else float("inf")
             offer = None
             if start > need.patience_s:
                 offer = _offer(spec, left, start, flavors, shut)
                 if offer is not None and flavors[offer[0][0]].bootS >= start:
                     offer = None
-            if offer is None and start == float("inf"):
-                usable += taken
-                break
-            if offer is not None:
-                pool, count = offer
-                out[pool] = out.get(pool, 0) + 1
-                if out[pool] >= constants.RENT_MAX:
-                    shut.add(pool)
-                boot = flavors[pool[0]].bootS
-                for lane in taken:
-                    heapq.heappush(usable, lane)
-                for _ in range(count * width):
-                    heapq.heappush(usable, (boot, len(lanes) + len(usable), pool))
+            if offer is None and start < float("inf"):
+                for pool, _, cpus in taken:
+                    lanes.add(pool, start + need.run_s, cpus)
+                left -= tasks
                 continue
-            for _, number, pool in taken:
-                heapq.heappush(usable, (start + need.run_s, number, pool))
-            left -= 1
-        lanes += usable
+            for pool, free, cpus in taken:
+                lanes.add(pool, free, cpus)
+            if offer is None:
+                break
+            pool, count = offer
+            out[pool] = out.get(pool, 0) + 1
+            if out[pool] >= constants.RENT_MAX:
+                shut.add(pool)
+            lanes.add(pool, flavors[pool[0]].bootS, count * width)
     return out
--- /dev/null
+++ b/src/chalkgrade/renting.py
@@ -0,0 +1,231 @@
+"""Machines wanted against machines there: the loop that works off the difference.
+
+The plan is made in `rentals`; here are the leader's list of machines, what it
+has asked for, what it returns, and what becomes of the work on it.
+"""
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable
+
+from chalkgrade import constants
+from chalkgrade.book import Book
+from chalkgrade.fleet import Fleet, Machine
+from chalkgrade.jobs import Attempt
+from chalkgrade.outside import Clock, NoAnswer
+from chalkgrade.rentals import Cloud, Have, Need, Pool, Refused, plan_rent
+from chalkgrade.rounds import left_s
+
+log = logging.getLogger("chalkgrade.renting")
+
+
+class Renter:
+    """The leader's dealings with the cloud."""
+
+    def __init__(
+        self,
+        book: Book,
+        fleet: Fleet,
+        cloud: Cloud,
+        clock: Clock,
+        live: Callable[[], bool],
+        lost: Callable[[Attempt], None],
+    ) -> None:
+        self.book = book
+        self.queues = book.queues
+        self.settings = book.settings
+        self.flavors = book.flavors
+        self.fleet = fleet
+        self.cloud = cloud
+        self.clock = clock
+        self.live = live
+        self.lost = lost  # an attempt went with its machine
+        self.wanted = asyncio.Event()
+        self.blocked: dict[Pool, float] = {}
+        self.hires: dict[Pool, tuple[str, int]] = {}
+        self.hire_number = 0
+        self.doomed: dict[str, None] = {}  # names to release
+        self.began = clock.now()
+
+    async def run(self) -> None:
+        flavors_at = -1e9
+        while True:
+            began = self.clock.now()
+            try:
+                if began - flavors_at > constants.FLAVORS_EVERY_S:
+                    await self._refresh_flavors()
+                    flavors_at = began
+                await self._refresh_list()
+                if self.live():
+                    await self._release()
+                    await self._rent()
+            except NoAnswer as error:
+                log.info("cloud: %s", error)
+            pause = max(0.3, constants.LIST_EVERY_S - (self.clock.now() - began))
+            self.wanted.clear()
+            try:
+                async with asyncio.timeout(pause):
+                    await self.wanted.wait()
+                # New work: machines take long enough to boot. The list can wait.
+                if self.live():
+                    await self._rent()
+            except TimeoutError:
+                pass
+            except NoAnswer as error:
+                log.info("cloud: %s", error)
+
+    async def _refresh_flavors(self) -> None:
+        flavors = await self.cloud.flavors()
+        shape = [(f.sku, f.room, f.sites) for f in flavors]
+        if shape != [(f.sku, f.room, f.sites) for f in self.flavors.values()] or (
+            not self.book.flavors_stamp
+        ):
+            self.book.flavors_dirty = True
+            self.book.flush_wanted.set()
+        self.flavors.clear()
+        self.flavors.update({flavor.sku: flavor for flavor in flavors})
+
+    async def _refresh_list(self) -> None:
+        rows, asked = await self.cloud.machines()
+        now = self.clock.now()
+        names = set()
+        for row in rows:
+            names.add(row.nameId)
+            if row.nameId in self.fleet.gone:
+                continue
+            machine = self.fleet.machine(row.nameId, row.hosttype, row.site, row.standby)
+            if machine.listed_at is None:
+                machine.listed_at = asked
+                machine.born = now - row.ageS
+            machine.status = row.status
+        for machine in self.fleet.machines.values():
+            why = self._useless(machine, machine.name in names, asked, now)
+            if why:
+                self._doom(machine, why)
+
+    def _useless(self, machine: Machine, listed: bool, asked: float, now: float) -> str:
+        """Why a machine is to be returned, or nothing."""
+        lag = self.settings.cluster.cloud.list_lag_s * 2 + 1
+        silent = now - max(machine.reported_at or 0.0, machine.known_at)
+        flavor = self.flavors.get(machine.hosttype)
+        if machine.status == "failed":
+            return "failed"
+        if (
+            not listed
+            and silent > self.fleet.silent_s
+            and (
+                (machine.listed_at is not None and asked > machine.listed_at + lag)
+                or now - machine.known_at > lag + self.fleet.silent_s
+            )
+        ):
+            return "not listed and silent"
+        if machine.reported_at is None and flavor is not None:
+            patience = max(constants.BOOT_PATIENCE_MIN_S, constants.BOOT_PATIENCE * flavor.bootS)
+            if now - machine.born > patience and now - machine.known_at > 20:
+                return "never came up"
+        elif machine.reported_at is not None and silent > constants.SILENT_RELEASE_S:
+            return "silent"
+        if machine.failures >= constants.SUSPECT_FAILURES:
+            # Its other tasks would fail too, or never end: they start afresh elsewhere.
+            return "suspect"
+        return ""
+
+    def _doom(self, machine: Machine, why: str) -> None:
+        if not machine.releasing:
+            log.info("releasing %s (%s %s): %s", machine.name, machine.hosttype, machine.site, why)
+            machine.releasing = True
+        self.doomed[machine.name] = None
+
+    async def _release(self) -> None:
+        """Return what is doomed or idle; what the cloud has confirmed is surely gone."""
+        now = self.clock.now()
+        for machine in self.fleet.machines.values():
+            if machine.attempts or machine.tasks or machine.reported_at is None:
+                # The backstop for aborted work on a machine that does not answer.
+                silent = now - max(machine.reported_at or 0.0, machine.known_at)
+                if silent > self.fleet.silent_s and any(
+                    a.job.aborted for a in machine.attempts.values()
+                ):
+                    self._doom(machine, "aborted work on a silent machine")
+                continue
+            idle = now - max(machine.busy_at, self.began)
+            if idle > self.settings.operator.idle_release_s and not machine.releasing:
+                self._doom(machine, "idle")
+        while self.doomed:
+            names = list(self.doomed)[: constants.RELEASE_MAX]
+            await self.cloud.release(names)
+            for name in names:
+                del self.doomed[name]
+                gone = self.fleet.machines.get(name)
+                if gone is None:
+                    continue
+                for attempt in self.fleet.drop(gone):
+                    self.lost(attempt)
+
+    def _needs(self) -> list[Need]:
+        """Waiting work in the order in which it would start, within the teams' maxima."""
+        out = []
+        teams = self.settings.cluster.teams
+        room = {team.name: team.cpus_max or float("inf") for team in teams}
+        jobs = sorted(self.book.jobs.values(), key=self.queues.order)
+        for job in jobs:
+            room[job.spec.owner] = room.get(job.spec.owner, 0.0) - job.spec.vcpus * len(job.live)
+        for job in jobs:
+            spec = job.spec
+            if job.aborted or job.aborting or not len(job.waiting):
+                continue
+            tasks = len(job.waiting)
+            if job.failures and len(job.failed_on) > 1:
+                tasks = 1  # a job that fails everywhere deserves no fleet
+            if spec.vcpus > 0 and room[spec.owner] < float("inf"):
+                tasks = min(tasks, int(max(0.0, room[spec.owner]) / spec.vcpus))
+                room[spec.owner] -= tasks * spec.vcpus
+            if tasks:
+                patience = min(constants.PATIENCE_S, max(0.0, self.queues.slack(job)))
+                out.append(Need(spec, tasks, self.queues.run_s(job), patience))
+        return out
+
+    async def _rent(self) -> None:
+        """Rent until nothing more is wanted or every pool that would do has refused."""
+        while self.live():
+            now = self.clock.now()
+            shut = [pool for pool, until in self.blocked.items() if until > now]
+            needs = self._needs()
+            if needs:
+                wanted = plan_rent(needs, self._have(now), self.flavors, [*shut, *self.hires])
+                for pool, count in wanted.items():
+                    self.hire_number += 1
+                    self.hires[pool] = (f"h{self.fleet.token}-{self.hire_number}", count)
+            if not self.hires:
+                return
+            for pool, (hire, count) in list(self.hires.items()):
+                try:
+                    names = await self.cloud.rent(hire, pool, count)
+                except Refused:
+                    names = []
+                del self.hires[pool]
+                log.info("rented %d of %d of %s", len(names), count, pool)
+                for name in names:
+                    self.fleet.machine(name, *pool)
+                if len(names) < count:
+                    self.blocked[pool] = self.clock.now() + constants.REFUSED_S
+
+    def _have(self, now: float) -> list[Have]:
+        """Machines that serve or will: the listed, the booting, not the silent or sick."""
+        out = []
+        for machine in self.fleet.machines.values():
+            flavor = self.flavors.get(machine.hosttype)
+            if flavor is None or not self.fleet.hopeful(machine):
+                continue
+            boot = 0.0
+            if machine.reported_at is None:
+                boot = max(1.0, flavor.bootS - (now - machine.born))
+            busy: list[tuple[float, int]] = []
+            for attempt in machine.attempts.values():
+                cpus = max(1, math.ceil(attempt.job.spec.vcpus - 1e-9))
+                busy.append((left_s(self.queues, attempt, now), cpus))
+            free = max(0, int(flavor.vcpus) - sum(cpus for _, cpus in busy))
+            pool = (machine.hosttype, machine.site, machine.standby)
+            out.append(Have(pool, [*busy, (boot, free)]))
+        return out
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from chalkgrade import controller, fleet, intake, ledger
+from chalkgrade import controller, fleet, intake, ledger, rounds
 from chalkgrade.jobs import Job
 from chalkgrade.leadership import LEADER_KEY, Leadership
 from world import Broken, World, play
@@ -101,17 +101,18 @@
 
 
 def test_ignoring_the_maximum_breaks_the_quota(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(controller._Filling, "_limit", lambda self, team: (1e9, 1e9, 1e9))
+    monkeypatch.setattr(rounds.Round, "_limit", lambda self, team: (1e9, 1e9, 1e9))
     _breaks("quota", troubled=False, jobs=30)
 
 
 def test_ignoring_constraints_breaks_placement(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("chalkgrade.placement.allowed", lambda *_: True)
+    for where in ("placement", "rounds"):
+        monkeypatch.setattr(f"chalkgrade.{where}.allowed", lambda *_: True)
     _breaks("wrong_place", troubled=False)
 
 
 def test_ignoring_zones_breaks_placement(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(controller, "zones_open", lambda spec, held, zones: set(zones))
+    monkeypatch.setattr(rounds, "zones_open", lambda spec, held, zones: set(zones))
     _breaks("wrong_place", troubled=False, jobs=25)
 
 
--- /dev/null
+++ b/tests/test_oplog.py
@@ -0,0 +1,128 @@
+"""The log of attempts: whatever is durable, and nothing else, comes back after a crash."""
+
+import random
+
+import msgspec
+import pytest
+
+from chalkgrade import constants
+from chalkgrade.jobs import Job, JobValue, PageValue, Waiting
+from chalkgrade.oplog import OpLog, SegmentValue
+from chalkgrade.outside import encode
+from test_placement_rentals import spec
+
+VALUE_KB = 2.0
+
+
+class Kept:
+    """What the state service holds: segments and pages."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.segments: dict[str, tuple[int, bytes]] = {}
+        self.pages: dict[tuple[str, int], bytes] = {}
+
+    def flush(self, log: OpLog, jobs: dict[str, Job]) -> None:
+        """One commit, as the book makes it: a part of the log, pages that free its oldest."""
+        flush = log.take()
+        lsn = log.lsn if flush is None else flush.lsn
+        pages = []
+        if flush is None or flush.count == len(log.pending):
+            pages = list(dict.fromkeys(log.stale()))[:4]
+        self.revision += 1
+        for name in pages:
+            self.pages[name] = encode(jobs[name[0]].pages[name[1]].value(lsn))
+        if flush is not None:
+            value = encode(flush.value)
+            assert len(value) <= VALUE_KB * 1024
+            assert flush.segment.stamp == self.segments.get(flush.segment.key, (0, b""))[0]
+            self.segments[flush.segment.key] = (self.revision, value)
+            log.saved(flush, self.revision)
+        log.forget(set(pages))
+
+    def load(self, jobs: dict[str, int]) -> tuple[OpLog, dict[str, Job]]:
+        log = OpLog(VALUE_KB)
+        out = {name: job(name, count, log) for name, count in jobs.items()}
+        for (name, number), value in self.pages.items():
+            if name in out:
+                out[name].load_page(number, msgspec.json.decode(value, type=PageValue), 1)
+        rows = [
+            (key, stamp, msgspec.json.decode(value, type=SegmentValue))
+            for key, (stamp, value) in sorted(self.segments.items())
+        ]
+        for lsn, segment, entry in log.load(rows):
+            for name, ops in entry.jobs:
+                if name in out:
+                    segment.refs |= {(name, page) for page in out[name].replay(lsn, ops)}
+        pages = [page.upto for job in out.values() for page in job.pages.values()]
+        log.lsn = max([log.lsn, *pages])
+        log.forget(set())
+        return log, out
+
+
+def job(name: str, count: int, log: OpLog) -> Job:
+    return Job(JobValue(spec(nameId=name, tasks=count), 0.0), 1, log)
+
+
+def picture(jobs: dict[str, Job]) -> dict[str, object]:
+    return {
+        name: (
+            job.done,
+            sorted(job.waiting),
+            sorted((i, a.number, a.machine) for i, a in job.live.items()),
+        )
+        for name, job in jobs.items()
+    }
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_crash_at_any_flush_brings_back_what_was_durable(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(constants, "PAGE_TASKS", 20)
+    monkeypatch.setattr(constants, "SEGMENTS_KEPT", 3)
+    rng = random.Random(seed)
+    kept, log = Kept(), OpLog(VALUE_KB)
+    jobs: dict[str, Job] = {}
+    number = reused = 0
+    durable = picture(jobs)
+    for _ in range(1500):
+        kind = rng.random()
+        if kind < 0.01 or not jobs:
+            number += 1
+            jobs[f"run-{number}"] = job(f"run-{number}", rng.randrange(1, 90), log)
+            durable[f"run-{number}"] = picture(jobs)[f"run-{number}"]
+        one = rng.choice(list(jobs.values()))
+        index = one.waiting.first(set())
+        if kind < 0.5 and index is not None:
+            one.place(index, f"host-{rng.randrange(50)}")
+        elif kind < 0.9 and one.live:
+            one.finish(rng.choice(list(one.live.values())), rng.random() < 0.7)
+        elif kind < 0.97:
+            while log.pending:
+                kept.flush(log, jobs)
+            for name in [name for name, job in jobs.items() if job.over]:
+                log.forget({(name, page) for page in jobs.pop(name).pages})
+            durable = picture(jobs)
+            reused += bool(log.free)
+        elif kind > 0.985:
+            log, jobs = kept.load({name: job.spec.tasks for name, job in jobs.items()})
+            assert picture(jobs) == durable
+    assert reused  # segments were used again, so that old content was met
+    assert len(kept.segments) < 40
+
+
+def test_waiting_gives_the_lowest_number_that_still_waits() -> None:
+    rng = random.Random(5)
+    waiting, twin = Waiting(40), set(range(40))
+    for _ in range(2000):
+        index = rng.randrange(40)
+        if rng.random() < 0.5:
+            waiting.add(index)
+            twin.add(index)
+        else:
+            assert waiting.remove(index) == (index in twin)
+            twin.discard(index)
+        skip = {rng.randrange(40) for _ in range(rng.randrange(4))}
+        assert waiting.first(skip) == min(twin - skip, default=None)
+        assert len(waiting) == len(twin)
--- a/tests/test_placement_rentals.py
+++ b/tests/test_placement_rentals.py
@@ -1,10 +1,26 @@
 """Choosing machines, making room, and renting, on small exact cases."""
 
+import random
+from dataclasses import replace
 from typing import Any
 
+import pytest
+
+from chalkgrade import rentals
 from chalkgrade.fleet import Flavor
 from chalkgrade.jobs import JobSpec
-from chalkgrade.placement import Occupant, Slot, choose, choose_all, victims, wait_s, zones_open
+from chalkgrade.placement import (
+    Occupant,
+    Offers,
+    Picker,
+    Slot,
+    choose,
+    choose_all,
+    occupy,
+    victims,
+    wait_s,
+    zones_open,
+)
 from chalkgrade.rentals import Have, Need, plan_rent
 
 SMALL = Flavor("small", 4, 16, ["a", "b"], hourly=0.3, spotPrice=0.1, bootS=30)
@@ -68,7 +84,7 @@
 
 
 def test_room_is_made_by_the_least_loss_among_lower_priorities_only() -> None:
-    full = slot("m", 0.0, occupants=[busy("x", 0, 9, 5), busy("y", 0, 3, 1), busy("z", 2, 1, 0)])
+    full = slot("m", 0.0, look=lambda: [busy("x", 0, 9, 5), busy("y", 0, 3, 1), busy("z", 2, 1, 0)])
     found = victims(spec(), full, own=False)
     assert [victim.task for victim in found or []] == ["y"]
     assert victims(spec(urgency="best_effort"), full, own=False) is None
@@ -77,7 +93,7 @@
 
 
 def test_borrowed_room_returns_to_a_guarantee_but_no_more_than_was_borrowed() -> None:
-    full = slot("m", 0.0, occupants=[busy("x", 1, 9, 5), busy("y", 1, 3, 1)])
+    full = slot("m", 0.0, look=lambda: [busy("x", 1, 9, 5), busy("y", 1, 3, 1)])
     low = spec(urgency="best_effort", vcpus=2.0)
     assert len(victims(low, full, own=False, excess={"blue": (2.0, 0.0)}) or []) == 2
     assert victims(low, full, own=False, excess={"blue": (1.0, 0.0)}) is None
@@ -85,7 +101,7 @@
 
 
 def test_rents_nothing_when_cpus_come_free_in_time() -> None:
-    have = [Have(("small", "a", True), [5.0] * 4)]
+    have = [Have(("small", "a", True), [(5.0, 4)])]
     assert plan_rent([Need(spec(), 4, 10.0, 20.0)], have, FLAVORS, []) == {}
 
 
@@ -102,5 +118,65 @@
     rented = plan_rent([Need(spec(), 4, 50.0, 20.0)], [], FLAVORS, shut)
     assert rented == {("small", "a", False): 1}
     # Found by a seeded day: a price cap without this left such a job waiting for ever.
-    soon = [Have(("small", "a", True), [35.0] * 4)]
+    soon = [Have(("small", "a", True), [(35.0, 4)])]
     assert plan_rent([Need(spec(), 4, 50.0, 20.0)], soon, FLAVORS, shut) == {}
+
+
+def test_picking_in_a_row_chooses_what_looking_at_all_machines_each_time_chooses() -> None:
+    """The cheap way must decide as the plain one, on random machines and jobs."""
+    rng = random.Random(3)
+    for _ in range(300):
+        many = [
+            slot(
+                f"m{number}",
+                rng.choice([0.5, 1.0, 2.0, 4.0]),
+                rng.choice(["a", "b"]),
+                images={"img"} if rng.random() < 0.3 else set(),
+                fetching={"img"} if rng.random() < 0.2 else set(),
+                strain=rng.randrange(2),
+            )
+            for number in range(rng.randrange(1, 12))
+        ]
+        twins = [replace(s, fetching=set(s.fetching)) for s in many]
+        job = spec(vcpus=rng.choice([0.5, 1.0, 2.0]), spread=rng.random() < 0.3, tasks=6)
+        avoid = ["m1"] if rng.random() < 0.2 else []
+        picker, held, other = Picker(job, many, avoid), dict.fromkeys("ab", 0), {"a": 0, "b": 0}
+        for _ in range(6):
+            found = picker.take(lambda: zones_open(job, held, "ab"))  # noqa: B023
+            plain = choose(job, twins, zones_open(job, other, "ab"), avoid)
+            assert (found and found.name) == (plain and plain.name)
+            if found is None or plain is None:
+                break
+            occupy(plain, job)
+            held[found.site] += 1
+            other[plain.site] += 1
+
+
+def test_offers_are_the_least_loss_and_are_not_made_twice() -> None:
+    slots = [
+        slot(f"m{lost}", 0.0, look=lambda lost=lost: [busy("x", 0, 9, lost)]) for lost in (5, 2, 9)
+    ]
+    offers = Offers(spec(), slots, False, None)
+    assert offers.take(lambda s: s.name != "m2", 4) is None
+    taken = offers.take(lambda s: True, 4)
+    assert taken is not None and taken[0].name == "m2"
+    for victim in taken[1]:
+        victim.stopping = True
+    taken = offers.take(lambda s: True, 8)
+    assert taken is not None and taken[0].name == "m5"
+
+
+def test_a_plan_for_thousands_takes_few_steps(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Work per plan grows with the moments at which CPUs come free, not with the tasks."""
+    steps = 0
+    plain = rentals._Lanes.take
+
+    def counted(self: Any, usable: Any, cpus: int) -> Any:
+        nonlocal steps
+        steps += 1
+        return plain(self, usable, cpus)
+
+    monkeypatch.setattr(rentals._Lanes, "take", counted)
+    have = [Have(("small", "a", True), [(float(number % 7), 4)]) for number in range(400)]
+    assert plan_rent([Need(spec(), 8000, 10.0, 1e9)], have, FLAVORS, []) == {}
+    assert steps < 100
--- a/tests/world.py
+++ b/tests/world.py
@@ -156,6 +156,7 @@
         return 200, {"k": key, "v": value, "stamp": stamp}
 
     def _commit(self, data: dict[str, Any]) -> tuple[int, Any]:
+        assert len(json.dumps(data)) <= 64 * 1024
         assert len(data["apply"]) <= self.world.settings.cluster.state.txn_ops
         assert all(len(json.dumps(op.get("v"))) <= 16 * 1024 for op in data["apply"])
         for op in data["apply"]:
