Budgets by the number of nodes; many submissions in one change at the leader

Cause: with five nodes the parts of the write budget summed to 1.3 times the limit and those of requests to 1.65; each submission cost a change of its own, and at the start some forty come at once. Now the parts sum to one, a new leader waits for its part, and the leader makes submissions durable together in batches (cg/in/). A node that can't reach the leader commits alone as before.

--- a/src/chalkgrade/book.py
+++ b/src/chalkgrade/book.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -16,10 +16,12 @@
 from chalkgrade import constants
 from chalkgrade.fleet import Flavor
 from chalkgrade.jobs import (
+    BATCH_PREFIX,
     END_PREFIX,
     JOB_PREFIX,
     TASK_PREFIX,
     Attempt,
+    BatchValue,
     Job,
     JobValue,
     Page,
@@ -43,18 +45,67 @@
 
 @dataclass
 class Write:
-    """One key's change within a commit, and what to do once it is durable."""
+    """One key's change within a commit."""
 
     key: str
     stamp: int  # its last known revision; -1: whatever it is
     value: msgspec.Raw | None  # None: removed
-    done: Callable[[int], None]
 
     @property
     def size(self) -> int:
         return 2 * len(self.key) + len(self.value or b"") + 80
 
 
+@dataclass(eq=False)
+class Batch:
+    """One key under cg/in/: the records of several jobs, while they are not over."""
+
+    key: str
+    stamp: int = 0
+    values: dict[str, bytes] = field(default_factory=dict)
+    size: int = 0
+
+    def apply(self, edits: dict[str, bytes | None]) -> dict[str, bytes]:
+        """Its records after these changes."""
+        out = dict(self.values)
+        for name, value in edits.items():
+            if value is None:
+                out.pop(name, None)
+            else:
+                out[name] = value
+        return out
+
+    def write(self, edits: dict[str, bytes | None]) -> Write:
+        values = self.apply(edits)
+        raw = msgspec.Raw(b'{"jobs":[' + b",".join(values.values()) + b"]}") if values else None
+        return Write(self.key, self.stamp, raw)
+
+    def saved(self, edits: dict[str, bytes | None], revision: int) -> None:
+        self.stamp, self.values = revision, self.apply(edits)
+        self.size = sum(len(value) + 1 for value in self.values.values())
+
+
+@dataclass
+class Change:
+    """What is written together, and what to do once it is durable."""
+
+    done: Callable[[int], None]
+    writes: list[Write] = field(default_factory=list)
+    batch: Batch | None = None  # a batch whose records change, and how
+    edits: dict[str, bytes | None] = field(default_factory=dict)
+    absent: list[str] = field(default_factory=list)  # keys that must not be there
+    admits: list["Admission"] = field(default_factory=list)
+
+
+@dataclass(eq=False)
+class Admission:
+    """A submission on its way into a batch."""
+
+    value: JobValue
+    raw: bytes
+    result: asyncio.Future[bool]  # True: accepted now; False: some node has accepted it before
+
+
 def _raw(value: Any) -> msgspec.Raw:
     return msgspec.Raw(encode(value))
 
@@ -92,6 +143,9 @@
         self.flush_wanted = asyncio.Event()
         self.committed = Signal()
         self.orphans: list[str] = []  # pages whose job is over, to be removed
+        self.batches: dict[str, Batch] = {}
+        self.batch_number = 0
+        self.admissions: dict[str, Admission] = {}
 
     # -- reading ------------------------------------------------------------------
 
@@ -115,6 +169,14 @@
         rows, self.revision = await self.ledger.scan(JOB_PREFIX)
         for row in rows:
             self.add(msgspec.json.decode(row.v, type=JobValue), row.stamp, observe=False)
+        self.batches.clear()
+        rows, _ = await self.ledger.scan(BATCH_PREFIX)
+        for row in rows:
+            batch = self.batches[row.k] = Batch(row.k, row.stamp)
+            values = msgspec.json.decode(row.v, type=BatchValue).jobs
+            for value in values:
+                self.add(value, 0, observe=False, batch=batch)
+            batch.saved({value.spec.nameId: encode(value) for value in values}, row.stamp)
         rows, _ = await self.ledger.scan(TASK_PREFIX)
         self.orphans.clear()
         for row in rows:
@@ -123,8 +185,7 @@
             if job is None:
                 self.orphans.append(row.k)
                 continue
-            value = msgspec.json.decode(row.v, type=PageValue)
-            job.load_page(int(number), value, row.stamp)
+            job.load_page(int(number), msgspec.json.decode(row.v, type=PageValue), row.stamp)
         rows, _ = await self.ledger.scan(LOG_PREFIX)
         segments = [(r.k, r.stamp, msgspec.json.decode(r.v, type=SegmentValue)) for r in rows]
         for lsn, segment, entry in self.log.load(segments):
@@ -139,12 +200,20 @@
         self.flush_wanted.set()
         return [attempt for job in self.jobs.values() for attempt in job.live.values()]
 
-    def add(self, value: JobValue, stamp: int, observe: bool) -> None:
+    def add(self, value: JobValue, stamp: int, observe: bool, batch: Batch | None = None) -> None:
         """A job that some node has accepted."""
         name = value.spec.nameId
-        if name in self.jobs or name in self.over:
-            return  # only the leader changes a job after its submission
-        job = self.jobs[name] = Job(value, stamp, self.log)
+        if name in self.over:
+            return
+        job = self.jobs.get(name)
+        if job is not None:
+            # Only the leader changes a job after its submission; but another node,
+            # out of our sight, may have accepted a repeated one under its own key.
+            job.stamp = max(job.stamp, stamp)
+            job.batch = job.batch or batch
+            job.aborted = job.aborted or value.aborted
+            return
+        job = self.jobs[name] = Job(value, stamp, self.log, batch)
         if observe:
             self.queues.observe_submission(job)
         log.debug("job %s: %d tasks", name, job.spec.tasks)
@@ -180,21 +249,80 @@
 
     # -- writing ------------------------------------------------------------------
 
-    def _wanted(self) -> Iterator[list[Write]]:
-        """All that is to be written, in order of urgency; what belongs together at once."""
+    async def admit(self, value: JobValue, timeout: float) -> bool:
+        """Make a submission durable with others, in one change for all of them.
+
+        False when the job is known already. An answer that does not come in
+        time leaves open whether the job was accepted.
+        """
+        name = value.spec.nameId
+        admission = self.admissions.get(name)
+        if admission is None:
+            if name in self.jobs or name in self.over:
+                return False
+            future = asyncio.get_running_loop().create_future()
+            admission = self.admissions[name] = Admission(value, encode(value), future)
+            self.flush_wanted.set()
+        done, _ = await asyncio.wait({admission.result}, timeout=timeout)
+        if not done:
+            raise NoAnswer("not durable in time")
+        return admission.result.result()
+
+    def _admitting(self) -> Change | None:
+        """The next submissions, as many as one batch and one commit can take."""
+        state = self.settings.cluster.state
+        limit = int(state.value_kb * 1024) - constants.VALUE_SPARE_B
+        chosen = list(self.admissions.values())[: state.txn_ops]
+        if not chosen:
+            return None
+        batch = next(
+            (b for b in self.batches.values() if b.size + len(chosen[0].raw) < limit), None
+        )
+        if batch is None:
+            self.batch_number += 1
+            batch = Batch(f"{BATCH_PREFIX}{self.token}-{self.batch_number}")
+        size = batch.size
+        taken: list[Admission] = []
+        for admission in chosen:
+            size += len(admission.raw) + 1
+            if taken and size > limit:
+                break
+            taken.append(admission)
+        names = [admission.value.spec.nameId for admission in taken]
+        return Change(
+            partial(self._admitted, batch, taken),
+            batch=batch,
+            edits={name: a.raw for name, a in zip(names, taken, strict=True)},
+            absent=[prefix + name for name in names for prefix in (JOB_PREFIX, END_PREFIX)],
+            admits=taken,
+        )
+
+    def _admitted(self, batch: Batch, taken: list[Admission], revision: int) -> None:
+        self.batches[batch.key] = batch
+        for admission in taken:
+            self._settle(admission, True)
+            self.add(admission.value, 0, observe=True, batch=batch)
+
+    def _settle(self, admission: Admission, accepted: bool) -> None:
+        self.admissions.pop(admission.value.spec.nameId, None)
+        if not admission.result.done():
+            admission.result.set_result(accepted)
+
+    def _wanted(self) -> Iterator[Change]:
+        """All that is to be written, in order of urgency."""
         flush = self.log.take()
         if flush is not None:
             # Attempts and outcomes of all jobs: machines wait for the first, room for the second.
-            segment = flush.segment
-            done = partial(self.log.saved, flush)
-            yield [Write(segment.key, segment.stamp, flush.value, done)]
+            write = Write(flush.segment.key, flush.segment.stamp, flush.value)
+            yield Change(partial(self.log.saved, flush), [write])
+        admitting = self._admitting()
+        if admitting is not None:
+            yield admitting
         for job in self.jobs.values():
             if job.over:
-                yield self._end_writes(job)
+                yield self._end(job)
             elif job.aborting:
-                value = _raw(JobValue(job.spec, job.at, True))
-                key = JOB_PREFIX + job.name
-                yield [Write(key, job.stamp, value, partial(self._aborted, job))]
+                yield self._abort(job)
         if flush is None or flush.count == len(self.log.pending):
             # Memory is now just what the log says, so that pages can stand for it.
             lsn = self.log.lsn if flush is None else flush.lsn
@@ -202,33 +330,46 @@
                 if self.jobs[name].over:
                     continue  # its end makes the page needless
                 page = self.jobs[name].pages[number]
-                done = partial(self._page_saved, page, (name, number), lsn)
-                yield [Write(page.key, page.stamp, _raw(page.value(lsn)), done)]
+                write = Write(page.key, page.stamp, _raw(page.value(lsn)))
+                yield Change(partial(self._page_saved, page, (name, number), lsn), [write])
         if self.queues.dirty:
-            value = _raw(self.queues.shares)
-            yield [Write(SHARES_KEY, self.queues.stamp, value, self._shares_saved)]
+            write = Write(SHARES_KEY, self.queues.stamp, _raw(self.queues.shares))
+            self.queues.dirty = False
+            yield Change(self._shares_saved, [write])
         if self.flavors_dirty:
             value = _raw(FlavorsValue(list(self.flavors.values())))
-            yield [Write(FLAVORS_KEY, self.flavors_stamp, value, self._flavors_saved)]
+            self.flavors_dirty = False
+            yield Change(self._flavors_saved, [Write(FLAVORS_KEY, self.flavors_stamp, value)])
         for key in list(self.orphans):
-            yield [Write(key, -1, None, partial(self._orphan_removed, key))]
+            yield Change(partial(self._orphan_removed, key), [Write(key, -1, None)])
 
-    def collect(self) -> list[Write]:
+    def collect(self) -> tuple[list[Change], dict[Batch, dict[str, bytes | None]]]:
         """The next commit's changes: as many as a commit may hold and the budget has now."""
         state = self.settings.cluster.state
         most = min(state.txn_ops, max(3, int(self.ledger.writes.level())))
-        size = constants.COMMIT_MAX_B - constants.VALUE_SPARE_B
-        out: list[Write] = []
-        for writes in self._wanted():
-            size -= sum(write.size for write in writes)
-            if len(out) + len(writes) > most or (out and size < 0):
+        room = constants.COMMIT_MAX_B - constants.VALUE_SPARE_B
+        conditions = 4 * state.txn_ops - most - 1
+        out: list[Change] = []
+        edits: dict[Batch, dict[str, bytes | None]] = {}
+        for change in self._wanted():
+            new = change.batch is not None and change.batch not in edits
+            most -= len(change.writes) + new
+            conditions -= len(change.absent)
+            room -= sum(write.size for write in change.writes)
+            room -= sum(len(value or b"") + 80 for value in change.edits.values())
+            if new and change.batch is not None:
+                room -= change.batch.size + 120
+            if most < 0 or (out and (room < 0 or conditions < 0)):
                 break
-            out += writes
-        return out
+            out.append(change)
+            if change.batch is not None:
+                edits.setdefault(change.batch, {}).update(change.edits)
+        return out, edits
 
-    def _end_writes(self, job: Job) -> list[Write]:
+    def _end(self, job: Job) -> Change:
+        """A job moves from where its record is to its final key."""
         status = "withdrawn" if job.aborted else "done"
-        end = _raw({"status": status, "tasks": job.done})
+        end = Write(END_PREFIX + job.name, 0, _raw({"status": status, "tasks": job.done}))
 
         def ended(revision: int) -> None:
             self.jobs.pop(job.name, None)
@@ -238,16 +379,29 @@
             self.log.forget({(job.name, number) for number in job.pages})
             log.info("job %s: %s", job.name, status)
 
-        return [
-            Write(END_PREFIX + job.name, 0, end, ended),
-            Write(JOB_PREFIX + job.name, job.stamp, None, lambda _: None),
-        ]
-
-    def _aborted(self, job: Job, revision: int) -> None:
-        job.stamp, job.aborted, job.aborting = revision, True, False
-        for attempt in job.live.values():
-            attempt.kill_at = attempt.kill_at or self.clock.now()
-        log.info("job %s: aborted with %d live attempts", job.name, len(job.live))
+        change = Change(ended, [end])
+        if job.stamp:
+            change.writes.append(Write(JOB_PREFIX + job.name, job.stamp, None))
+        else:
+            change.absent.append(JOB_PREFIX + job.name)
+        if job.batch is not None:
+            change.batch, change.edits = job.batch, {job.name: None}
+        return change
+
+    def _abort(self, job: Job) -> Change:
+        value = encode(JobValue(job.spec, job.at, True))
+
+        def aborted(revision: int) -> None:
+            job.aborted, job.aborting = True, False
+            if job.batch is None:
+                job.stamp = revision
+            for attempt in job.live.values():
+                attempt.kill_at = attempt.kill_at or self.clock.now()
+            log.info("job %s: aborted with %d live attempts", job.name, len(job.live))
+
+        if job.batch is not None:
+            return Change(aborted, batch=job.batch, edits={job.name: value})
+        return Change(aborted, [Write(JOB_PREFIX + job.name, job.stamp, msgspec.Raw(value))])
 
     def _page_saved(self, page: Page, name: PageName, lsn: int, revision: int) -> None:
         page.stamp, page.upto = revision, lsn
@@ -268,25 +422,35 @@
             await self.flush_wanted.wait()
             await asyncio.sleep(constants.COALESCE_S)
             self.flush_wanted.clear()
-            while writes := self.collect():
-                for write in writes:
-                    if write.key == SHARES_KEY:
-                        self.queues.dirty = False
-                    elif write.key == FLAVORS_KEY:
-                        self.flavors_dirty = False
-                revision = await self._commit(writes)
-                for write in writes:
-                    write.done(revision)
+            while True:
+                changes, edits = self.collect()
+                if not changes:
+                    break
+                revision = await self._commit(changes, edits)
+                if not revision:
+                    continue  # some submissions were known: again without them
+                for batch, edit in edits.items():
+                    batch.saved(edit, revision)
+                    if not batch.values:
+                        self.batches.pop(batch.key, None)
+                for change in changes:
+                    change.done(revision)
                 self.committed.fire()
 
-    async def _commit(self, writes: list[Write]) -> int:
+    async def _commit(
+        self, changes: list[Change], edits: dict[Batch, dict[str, bytes | None]]
+    ) -> int:
         """Commit until it is known to be applied; any surprise ends the term.
 
         Each key is conditioned on its last known revision, so a copy of this
-        commit that is applied late, after a newer one, fails.
+        commit that is applied late, after a newer one, fails. 0: nothing was
+        done, since submissions in it were accepted elsewhere before.
         """
-        conditions = {LEADER_KEY: self.token}
-        conditions.update({w.key: w.stamp for w in writes if w.stamp >= 0})
+        writes = [write for change in changes for write in change.writes]
+        writes += [batch.write(edit) for batch, edit in edits.items()]
+        conditions = {key: 0 for change in changes for key in change.absent}
+        conditions |= {write.key: write.stamp for write in writes if write.stamp >= 0}
+        conditions[LEADER_KEY] = self.token
         apply: list[dict[str, Any]] = [
             {"remove": w.key} if w.value is None else {"write": w.key, "v": w.value} for w in writes
         ]
@@ -300,6 +464,8 @@
                 unsure = True
                 await asyncio.sleep(constants.STATE_PAUSE_S)
             except Conflict as conflict:
+                if self._known_before(changes, conflict.failed):
+                    return 0
                 if not unsure or LEADER_KEY in conflict.failed:
                     log.warning("%s; stepping down", conflict)
                     self.leadership.depose()
@@ -313,6 +479,24 @@
                 self.leadership.depose()
                 await asyncio.Event().wait()
 
+    def _known_before(self, changes: list[Change], failed: list[str]) -> bool:
+        """Whether a commit failed only for jobs accepted elsewhere; they are taken out of it.
+
+        No copy of it can be applied later either: their keys stay, or turn into
+        final ones.
+        """
+        guards = {
+            prefix + admission.value.spec.nameId: admission
+            for change in changes
+            for admission in change.admits
+            for prefix in (JOB_PREFIX, END_PREFIX)
+        }
+        if not failed or not all(key in guards for key in failed):
+            return False
+        for key in failed:
+            self._settle(guards[key], False)
+        return True
+
     async def _applied_at(self, writes: list[Write]) -> int:
         key = next((w.key for w in writes if w.value is not None and w.stamp >= 0), None)
         if key is None:
--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -28,9 +28,9 @@
 # --- ledger -----------------------------------------------------------------
 STATE_TIMEOUT_S: Final = 2.0  # s; replies take under 10 ms, rarely a few hundred
 STATE_PAUSE_S: Final = 0.25  # s; between retries of a state-service call
-LEADER_WRITE_SHARE: Final = 0.7  # share of write_rps for the leader; the rest for submissions
-FOLLOWER_WRITE_SHARE: Final = 0.15  # share of write_rps for each other node's submissions
-REQUEST_SHARE: Final = 0.33  # share of rps each node allows itself
+# The rest is split among the other controllers, so that all parts sum to the limit.
+LEADER_WRITE_SHARE: Final = 0.7  # share of write_rps for the leader: all progress goes through it
+LEADER_REQUEST_SHARE: Final = 0.5  # share of rps for the leader; others serve users and watch
 COALESCE_S: Final = 0.03  # s; wait after the first dirty record, so one commit carries many
 WATCH_BLOCK_S: Final = 20.0  # s; long watches keep the request budget free
 WATCH_SLACK_S: Final = 5.0  # s; beyond the block time before a watch counts as lost
--- a/src/chalkgrade/controller.py
+++ b/src/chalkgrade/controller.py
@@ -15,7 +15,7 @@
 from chalkgrade import constants
 from chalkgrade.book import Book
 from chalkgrade.fleet import Flavor, Fleet, Machine, Report, orders
-from chalkgrade.jobs import Attempt
+from chalkgrade.jobs import Attempt, JobSpec, JobValue
 from chalkgrade.leadership import Leadership
 from chalkgrade.ledger import Ledger, NotExecuted
 from chalkgrade.outside import Clock, NoAnswer, Signal
@@ -143,6 +143,13 @@
         job = self.jobs.get(name)
         return None if job is None else job.status()
 
+    async def submit(self, spec: JobSpec) -> bool:
+        """Accept a job together with others; False when it is known already."""
+        if not self.live():
+            raise Unavailable
+        value = JobValue(spec, self.clock.wall())
+        return await self.book.admit(value, constants.PEER_TIMEOUT_S)
+
     async def abort(self, name: str) -> str | None:
         """Abort a job; its final state, or None when the book does not have it."""
         if not self.live():
--- a/src/chalkgrade/intake.py
+++ b/src/chalkgrade/intake.py
@@ -17,10 +17,12 @@
 from chalkgrade.controller import Term, Unavailable
 from chalkgrade.fleet import Flavor
 from chalkgrade.jobs import (
+    BATCH_PREFIX,
     END_PREFIX,
     ID_FORM,
     JOB_PREFIX,
     TASK_PREFIX,
+    BatchValue,
     EndValue,
     Invalid,
     JobSpec,
@@ -133,14 +135,31 @@
             # A job accepted under other settings must not be refused when it is repeated.
             status, known = await self.query(spec.nameId)
             return (422, {"error": refusal}) if status == 404 else (status, known)
+        # The leader makes many submissions durable with one change. Whoever can't
+        # reach it commits alone, under the condition that the job is unknown.
+        if self.term is not None:
+            answer = await self.admit(spec)
+        else:
+            answer = await self._from_leader("submit", body.decode(), constants.PEER_TIMEOUT_S)
+        if answer[0] != 503:
+            return answer
         try:
             return await self.accept(spec)
         except (NotExecuted, NoAnswer) as error:
             log.info("submission of %s: state service: %s", spec.nameId, error)
-        leader = self.leadership.leader
-        if leader is None or leader == self.settings.member:
             return LATER
-        return await self._ask(leader, "submit", body.decode(), constants.PEER_TIMEOUT_S)
+
+    async def admit(self, spec: JobSpec) -> Answer:
+        """Accept a submission as the leader."""
+        if self.term is None:
+            return LATER
+        try:
+            if await self.term.submit(spec):
+                return 201, {"nameId": spec.nameId, "status": "pending"}
+        except (Unavailable, NoAnswer):
+            return LATER
+        status, known = await self.query(spec.nameId)
+        return status if status != 404 else 503, known
 
     async def accept(self, spec: JobSpec) -> Answer:
         """Commit a submission, if the job is not known."""
@@ -214,15 +233,21 @@
             return LATER
 
     async def _read(self, name: str) -> Answer:
-        """A fresh read: the job's key first, since it turns into the final one atomically."""
+        """A fresh read: the end last, since what is looked at before turns into it atomically."""
         row = await self.ledger.get(JOB_PREFIX + name)
-        if row is None:
+        value: JobValue | None = None
+        if row is not None:
+            value = msgspec.json.decode(row.v, type=JobValue)
+        else:
+            rows, _ = await self.ledger.scan(BATCH_PREFIX)
+            jobs = [job for r in rows for job in msgspec.json.decode(r.v, type=BatchValue).jobs]
+            value = next((job for job in jobs if job.spec.nameId == name), None)
+        if value is None:
             row = await self.ledger.get(END_PREFIX + name)
             if row is None:
                 return UNKNOWN
             end = msgspec.json.decode(row.v, type=EndValue)
             return 200, self.remember(name, end.status, end.tasks)
-        value = msgspec.json.decode(row.v, type=JobValue)
         if value.aborted:
             return 200, self.remember(name, "withdrawn", 0)
         rows, _ = await self.ledger.scan(f"{TASK_PREFIX}{name}/")
--- a/src/chalkgrade/jobs.py
+++ b/src/chalkgrade/jobs.py
@@ -1,12 +1,13 @@
 """Jobs and their durable records.
 
 Keys in the state service:
-- cg/job/ID: a job that is not over (its submission, and whether it was aborted);
+- cg/in/N: several jobs that are not over (their submissions, and whether they were aborted);
+- cg/job/ID: one such job, accepted by a node that could not reach the leader;
 - cg/log/N: what happened to tasks lately, of all jobs (`oplog`);
 - cg/task/ID/PAGE: a checkpoint of some of its tasks: what is done, what may be running;
 - cg/end/ID: the final state, kept for ever.
-A job moves from the first to the last in one commit, so at every revision an
-accepted job is found under exactly one of them.
+A job moves from the first two to the last in one commit, so at every revision
+an accepted job is found among the first two or under the last.
 """
 
 import heapq
@@ -20,6 +21,7 @@
 from chalkgrade.oplog import DONE, OVER, Op, OpLog
 from chalkgrade.outside import encode
 
+BATCH_PREFIX = "cg/in/"
 JOB_PREFIX = "cg/job/"
 TASK_PREFIX = "cg/task/"
 END_PREFIX = "cg/end/"
@@ -87,13 +89,19 @@
 
 
 class JobValue(msgspec.Struct):
-    """The value under cg/job/."""
+    """The value under cg/job/, and one of those under cg/in/."""
 
     spec: JobSpec
     at: float  # wall time of the acceptance
     aborted: bool = False
 
 
+class BatchValue(msgspec.Struct):
+    """The value under cg/in/."""
+
+    jobs: list[JobValue]
+
+
 class EndValue(msgspec.Struct):
     status: Literal["done", "withdrawn"]
     tasks: int = 0
@@ -221,13 +229,14 @@
 class Job:
     """A job that is not over, in the leader's memory."""
 
-    def __init__(self, value: JobValue, stamp: int, log: OpLog) -> None:
+    def __init__(self, value: JobValue, stamp: int, log: OpLog, batch: Any = None) -> None:
+        self.batch = batch  # where its record is, with others' (`book.Batch`), or None
         self.spec = value.spec
         self.log = log
         self.at = value.at
         self.aborted = value.aborted  # durable, so users may hear it
         self.aborting = False  # being made durable: nothing may be launched any more
-        self.stamp = stamp
+        self.stamp = stamp  # revision of its own record; 0: it has none
         self.pages: dict[int, Page] = {}
         self.waiting = Waiting(self.spec.tasks)
         self.done = 0
--- a/src/chalkgrade/ledger.py
+++ b/src/chalkgrade/ledger.py
@@ -74,25 +74,36 @@
 class Ledger:
     """One node's dealings with the state service."""
 
-    def __init__(self, http: Http, clock: Clock, addr: str, limits: StateLimits) -> None:
+    def __init__(
+        self, http: Http, clock: Clock, addr: str, limits: StateLimits, nodes: int = 1
+    ) -> None:
         self._http = http
         self._clock = clock
         self._addr = addr
         self.limits = limits
-        self.requests = Bucket(
-            clock, limits.rps * constants.REQUEST_SHARE, limits.rps * constants.REQUEST_SHARE
-        )
-        share = limits.write_rps * constants.FOLLOWER_WRITE_SHARE
-        self.writes = Bucket(clock, share, max(2.0, share))
+        self._others = max(0, nodes - 1)
+        self.requests = Bucket(clock, 1.0, 1.0)
+        self.writes = Bucket(clock, 1.0, 1.0)
+        self.lead(False)
+        self.requests.fill()
+        self.writes.fill()
         self.answered_at = -1e9
         self.counts: dict[str, int] = {}
 
     def lead(self, leading: bool) -> None:
-        """Change this node's part of the shared write budget."""
-        share = constants.LEADER_WRITE_SHARE if leading else constants.FOLLOWER_WRITE_SHARE
-        self.writes.level()
-        self.writes.rate = self.limits.write_rps * share
-        self.writes.burst = max(2.0, self.writes.rate)
+        """Change this node's parts of the shared budgets.
+
+        All nodes' parts together are the limit: the leader's, and the rest in
+        equal parts for the others. What a new leader gains it has to wait for,
+        so that it does not spend what the last one has spent already.
+        """
+        for bucket, limit, part in (
+            (self.requests, self.limits.rps, constants.LEADER_REQUEST_SHARE),
+            (self.writes, self.limits.write_rps, constants.LEADER_WRITE_SHARE),
+        ):
+            share = part if leading else (1 - part) / max(1, self._others)
+            share = share if self._others else 1.0
+            bucket.resize(limit * share)
 
     def fresh(self) -> bool:
         """Whether the service answered lately."""
--- a/src/chalkgrade/node.py
+++ b/src/chalkgrade/node.py
@@ -43,7 +43,8 @@
         self.rng = rng
         cluster = settings.cluster
         self.flavors: dict[str, Flavor] = {}
-        self.ledger = Ledger(http, clock, settings.endpoints.state, cluster.state)
+        nodes = len(settings.others) + 1
+        self.ledger = Ledger(http, clock, settings.endpoints.state, cluster.state, nodes)
         self.cloud = Cloud(http, clock, settings.endpoints.cloud, cluster.cloud.rps)
         spare = cluster.workers.cancel_s - cluster.workers.lease_s - constants.LIMBO_MARGIN_S
         self.leadership = Leadership(
@@ -146,7 +147,7 @@
                 status, body = LATER
                 if self.term is not None and self.term.live():
                     spec = parse_submission(arg.encode(), self.settings.cluster.state.value_kb)
-                    status, body = await self.intake.accept(spec)
+                    status, body = await self.intake.admit(spec)
             elif what == "hello":
                 status, body = 421, {}
                 if self.term is not None and self.term.ready:
--- a/src/chalkgrade/outside.py
+++ b/src/chalkgrade/outside.py
@@ -86,6 +86,16 @@
         self._level = self.burst
         self._at = clock.now()
 
+    def resize(self, rate: float) -> None:
+        """Change the rate, with bursts of a second's worth; the tokens at hand stay."""
+        self.level()
+        self.rate, self.burst = rate, max(1.0, rate)
+        self._level = min(self._level, self.burst)
+
+    def fill(self) -> None:
+        """As after a long pause."""
+        self._level = self.burst
+
     def level(self) -> float:
         """Tokens at hand."""
         now = self._clock.now()
--- a/tests/world.py
+++ b/tests/world.py
@@ -88,6 +88,11 @@
         self.log: list[tuple[int, dict[str, Any]]] = []
         self.leases: dict[int, tuple[float, float]] = {}  # ttl, end
         self.lease_number = 0
+        self.refused_calls = 0  # over the limits of requests and changes
+        state = world.settings.cluster.state
+        self.limits = {"requests": state.rps, "changes": state.write_rps}
+        self.level = dict(self.limits)
+        self.level_at = world.now
         self.outage_until = 0.0
         self.refused: dict[str, float] = {}  # node -> until when it gets 503
         self.changed = asyncio.Event()
@@ -101,6 +106,17 @@
         for number, (ttl, _) in list(self.leases.items()):
             self.leases[number] = (ttl, self.outage_until + ttl)
 
+    def _spend(self, what: str, amount: int) -> bool:
+        """Whether so much is within a limit, which allows bursts of one second's worth."""
+        passed, self.level_at = self.world.now - self.level_at, self.world.now
+        for name, rate in self.limits.items():
+            self.level[name] = min(rate, self.level[name] + passed * rate)
+        if self.level[what] < amount:
+            self.refused_calls += 1
+            return False
+        self.level[what] -= amount
+        return True
+
     def _apply(self, ops: list[dict[str, Any]]) -> None:
         self.rev += 1
         for op in ops:
@@ -127,6 +143,8 @@
         parts = urlsplit(path)
         query = {key: value[0] for key, value in parse_qs(parts.query).items()}
         data = json.loads(body) if body else None
+        if not self._spend("requests", 1):
+            return 429, {"error": "too many requests"}
         if parts.path == "/commit":
             return self._commit(data)
         if parts.path == "/leases":
@@ -157,6 +175,9 @@
 
     def _commit(self, data: dict[str, Any]) -> tuple[int, Any]:
         assert len(json.dumps(data)) <= 64 * 1024
+        assert len(data["if"]) <= 4 * self.world.settings.cluster.state.txn_ops
+        if not self._spend("changes", len(data["apply"])):
+            return 429, {"error": "too many changes"}
         assert len(data["apply"]) <= self.world.settings.cluster.state.txn_ops
         assert all(len(json.dumps(op.get("v"))) <= 16 * 1024 for op in data["apply"])
         for op in data["apply"]:
@@ -196,14 +217,7 @@
     def __init__(self, world: "World") -> None:
         self.world = world
         self.number = 0
-        self.rooms = {
-            ("small", "a", True): 6,
-            ("small", "b", True): 6,
-            ("small", "a", False): 2,
-            ("small", "b", False): 2,
-            ("large", "b", True): 1,
-            ("large", "a", False): 1,
-        }
+        self.rooms = dict(world.ROOMS)
         self.hires: dict[str, list[str]] = {}
         self.machines: dict[str, dict[str, Any]] = {}
         self.history: list[tuple[float, list[dict[str, Any]]]] = []
@@ -414,7 +428,7 @@
                 continue
             await asyncio.sleep(0.5)
             try:
-                async with asyncio.timeout(REPORT_S * world.rng.uniform(0.75, 1.25) - 0.5):
+                async with asyncio.timeout(world.REPORT_S * world.rng.uniform(0.75, 1.25) - 0.5):
                     await self.changed.wait()
             except TimeoutError:
                 pass
@@ -558,12 +572,23 @@
 class World:
     """Everything, and the rules."""
 
+    MEMBERS = ("n-0", "n-1", "n-2")
+    REPORT_S = REPORT_S
+    STATE = {"rps": 200, "write_rps": 40, "txn_ops": 16, "value_kb": 16}
+    ROOMS = {
+        ("small", "a", True): 6,
+        ("small", "b", True): 6,
+        ("small", "a", False): 2,
+        ("small", "b", False): 2,
+        ("large", "b", True): 1,
+        ("large", "a", False): 1,
+    }
+
     def __init__(self, loop: VirtualLoop, seed: int) -> None:
         self.loop, self.rng = loop, random.Random(seed)
         self.settings_of: dict[str, Settings] = {}
-        self.nodes: dict[str, Node | None] = dict.fromkeys(("n-0", "n-1", "n-2"))
+        self.nodes: dict[str, Node | None] = dict.fromkeys(self.MEMBERS)
         self.epochs = dict.fromkeys(self.nodes, 0)
-        self.zone = {"n-0": "a", "n-1": "b", "n-2": "a", "state": "", "cloud": "", "users": ""}
         self.cuts: list[tuple[frozenset[str], frozenset[str], float, bool]] = []
         self.settings = self._settings("n-0")
         self.store, self.cloud = Store(self), Cloud(self)
@@ -605,8 +630,12 @@
                         {"name": "red", "cpus": 12, "cpus_max": 20},
                         {"name": "blue", "cpus": 0, "cpus_max": 0},
                     ],
-                    "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "cancel_s": CANCEL_S},
-                    "state": {"rps": 200, "write_rps": 40, "txn_ops": 16, "value_kb": 16},
+                    "workers": {
+                        "report_s": self.REPORT_S,
+                        "lease_s": LEASE_S,
+                        "cancel_s": CANCEL_S,
+                    },
+                    "state": self.STATE,
                     "cloud": {"rps": 5, "list_lag_s": 2},
                 },
             },
@@ -902,8 +931,8 @@
             self.cut({member}, {*nodes, "state", "cloud", "users", *workers}, seconds, hold)
         elif kind == 7:
             self.cut(
-                {"n-0", "n-2", *(w for w in workers if self.workers[w].zone == "a")},
-                {"n-1", *(w for w in workers if self.workers[w].zone == "b")},
+                {*nodes[::2], *(w for w in workers if self.workers[w].zone == "a")},
+                {*nodes[1::2], *(w for w in workers if self.workers[w].zone == "b")},
                 seconds,
                 hold,
             )
@@ -977,11 +1006,12 @@
     troubled: bool = True,
     calm: float = 300.0,
     prepare: Callable[[World], None] | None = None,
+    kind: type[World] = World,
 ) -> World:
     """Play one day; raises Broken when a rule is broken."""
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
-    world = World(loop, seed)
+    world = kind(loop, seed)
     if prepare is not None:
         prepare(world)
     try:
