Rates from overlapping bursts, images first beyond them, idle workers' answers held

Cause: gate-bid tasks waited while price-forecast and settle-check filled the cluster: a hard queue got the rate of one smoothed burst, though nine overlap, and the elastic queues all the rest; classes with a 'finished' aim were taken for batch. Every freed CPU took the first job's image, so that fetching (15 s) cost as much as running. An idle machine got its work with its next report.

Changes: a hard queue's rate is the sum of what its jobs' next bounds need; beyond that, work of one urgency goes first to where its image is; slack counts the fetch and the report; idle workers' reports are answered late.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -43,6 +43,7 @@
 
 # --- fleet ------------------------------------------------------------------
 ANSWER_HOLD_S: Final = 0.8  # s; a report may wait for its room's commit; workers give up at 4 s
+IDLE_HOLD_S: Final = 2.2  # s; as long for an idle machine; with ANSWER_HOLD_S under those 4 s
 # No placing on a machine that missed its reports: they come every report_s plus a quarter.
 SILENT_REPORTS: Final = 2.5  # times report_s; two late reports in a row
 SILENT_SLACK_S: Final = 0.5  # s; on top of that, for the way
@@ -64,6 +65,7 @@
 RENT_MAX: Final = 50  # machines per request, from the protocol
 RELEASE_MAX: Final = 100  # names per request, from the protocol
 PREEMPT_WAIT_S: Final = 4.0  # s; urgent work that waits less gains nothing by stopping others
+TELL_EVERY_S: Final = 10.0  # s; between two lines in the log on what runs and what waits
 PREEMPT_EVERY_S: Final = 1.0  # s; looking for room to be made costs more than placing
 PREEMPT_RATIO: Final = 1.0  # work a stop may lose, over the work that it lets start
 ROUND_TASKS: Final = 500  # tasks of one job looked at per round; a round must stay short
--- a/src/chalkgrade/controller.py
+++ b/src/chalkgrade/controller.py
@@ -53,7 +53,7 @@
         self.flavors = flavors
         workers = settings.cluster.workers
         self.fleet = Fleet(clock, token, workers.lease_s, workers.report_s)
-        self.queues = Queues(settings, clock)
+        self.queues = Queues(settings, clock, flavors)
         self.book = Book(
             settings,
             token,
@@ -72,6 +72,7 @@
         self.round_wanted = asyncio.Event()
         self.round_done = Signal()
         self.preempted_at = -1e9
+        self.told_at = -1e9
         self.tasks: list[asyncio.Task[None]] = []
         self.counts: dict[str, int] = defaultdict(int)
 
@@ -197,14 +198,25 @@
         return 200, answer
 
     async def _hold(self, machine: Machine) -> None:
-        """Wait shortly for a round and its commit, so that launches go with this answer."""
-        deadline = self.clock.now() + constants.ANSWER_HOLD_S
-        if self._wants_work(machine):
-            self.round_wanted.set()
-            await self.round_done.wait(deadline - self.clock.now())
-        while self.live() and not all(a.durable for a in machine.attempts.values()):
-            if not await self.book.committed.wait(deadline - self.clock.now()):
-                return
+        """Wait shortly for a round and its commit, so that launches go with this answer.
+
+        A machine with nothing to do is held for longer: it has nothing to tell,
+        and work that comes meanwhile need not wait for its next report.
+        """
+        machine.open += 1
+        try:
+            deadline = self.clock.now() + constants.ANSWER_HOLD_S
+            if self._wants_work(machine):
+                self.round_wanted.set()
+                await self.round_done.wait(deadline - self.clock.now())
+            if not machine.attempts and not machine.tasks and self.fleet.usable(machine):
+                await machine.given.wait(constants.IDLE_HOLD_S)
+                deadline = self.clock.now() + constants.ANSWER_HOLD_S
+            while self.live() and not all(a.durable for a in machine.attempts.values()):
+                if not await self.book.committed.wait(deadline - self.clock.now()):
+                    return
+        finally:
+            machine.open -= 1
 
     def _wants_work(self, machine: Machine) -> bool:
         """Whether a round may find something for a machine that has just reported."""
@@ -341,3 +353,28 @@
         placed = plan.run()
         if placed or plan.stopped:
             log.debug("round: placed %d, stopping %d", placed, plan.stopped)
+        if now - self.told_at >= constants.TELL_EVERY_S:
+            self.told_at = now
+            self._tell()
+
+    def _tell(self) -> None:
+        """One line for operators: what there is, what runs, what waits."""
+        states: dict[str, int] = defaultdict(int)
+        waiting: dict[str, int] = defaultdict(int)
+        usable = idle = 0
+        for machine in self.fleet.machines.values():
+            serves = self.fleet.usable(machine)
+            usable += serves
+            idle += serves and not machine.attempts
+            for attempt in machine.attempts.values():
+                states[f"{attempt.job.spec.jobclass} {attempt.state or 'sent'}"] += 1
+        for job in self.jobs.values():
+            waiting[job.spec.jobclass] += len(job.waiting)
+        log.info(
+            "%d machines, %d usable, %d idle; attempts %s; waiting %s",
+            len(self.fleet.machines),
+            usable,
+            idle,
+            dict(sorted(states.items())),
+            dict(waiting),
+        )
--- a/src/chalkgrade/fleet.py
+++ b/src/chalkgrade/fleet.py
@@ -14,7 +14,7 @@
 
 from chalkgrade import constants
 from chalkgrade.jobs import Attempt
-from chalkgrade.outside import Clock
+from chalkgrade.outside import Clock, Signal
 from chalkgrade.shares import Vector, minus, plus
 
 log = logging.getLogger("chalkgrade.fleet")
@@ -88,6 +88,8 @@
         self.tasks: dict[tuple[str, int], TaskReport] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.used: Vector = NOTHING  # what the attempts of the book take
+        self.given = Signal()  # work was decided for it
+        self.open = 0  # reports that wait for their answer: what is decided now goes at once
         self.warned = False
         self.listed_at: float | None = None  # when a list that names it was first asked for
         self.status = ""
@@ -101,6 +103,7 @@
     def attach(self, attempt: Attempt) -> None:
         """An attempt of the book may be here from now on."""
         self.attempts[attempt.name, attempt.number] = attempt
+        self.given.fire()
         self.used = plus(self.used, attempt.job.spec.room)
 
     def detach(self, attempt: Attempt) -> None:
@@ -126,6 +129,7 @@
         self._clock = clock
         self.token = token
         self.lease_s = lease_s
+        self.report_s = report_s
         self.silent_s = constants.SILENT_REPORTS * report_s + constants.SILENT_SLACK_S
         self.machines: dict[str, Machine] = {}
         self.gone: dict[str, None] = {}  # surely gone: old reports and lists must not revive them
@@ -209,11 +213,19 @@
             )
         )
 
+    def delay_s(self, machine: Machine) -> float:
+        """How long a launch for it has to wait for a report that it can go with."""
+        if machine.open or machine.reported_at is None:
+            return 0.0
+        return max(0.0, self.report_s - (self._clock.now() - machine.reported_at))
+
     def drop(self, machine: Machine) -> list[Attempt]:
         """A machine is surely gone; returns the attempts that went with it."""
         self.gone[machine.name] = None
         self.machines.pop(machine.name, None)
-        return list(machine.attempts.values())
+        lost = list(machine.attempts.values())
+        machine.attempts.clear()  # a report that is being answered must launch nothing there
+        return lost
 
 
 def orders(
--- a/src/chalkgrade/placement.py
+++ b/src/chalkgrade/placement.py
@@ -42,10 +42,15 @@
     pull_gb_s: float = 1.0
     strain: int = 0  # failures of late; the healthiest machine is taken first
     fetching: set[str] = field(default_factory=set)
+    delay_s: float = 0.0  # until a launch can be sent there
     look: Callable[[], list[Occupant]] = list  # asked only where room is to be made
     touched: bool = False  # something was placed here in this round
     seen: list[Occupant] | None = None
 
+    def knows(self, bundle: str) -> bool:
+        """Whether an image is there, or on its way."""
+        return bundle in self.images or bundle in self.fetching
+
     @property
     def occupants(self) -> list[Occupant]:
         if self.seen is None:
@@ -109,7 +114,13 @@
     that slot's rank, so the others are looked at once, not once a task.
     """
 
-    def __init__(self, spec: JobSpec, slots: Iterable[Slot], avoid: Iterable[str] = ()) -> None:
+    def __init__(
+        self,
+        spec: JobSpec,
+        slots: Iterable[Slot],
+        avoid: Iterable[str] = (),
+        local: bool = False,
+    ) -> None:
         self._spec = spec
         shunned = set(avoid)
         self._heap: list[tuple[tuple[float, ...], int, Slot]] = []
@@ -118,6 +129,8 @@
         for number, slot in enumerate(slots):
             if not fits(spec.room, slot.free) or slot.name in shunned:
                 continue
+            if local and spec.pullGb and not slot.knows(spec.bundle):
+                continue
             kind = (slot.hosttype, slot.site, slot.standby)
             if kind not in may:
                 may[kind] = allowed(spec, *kind)
@@ -145,7 +158,7 @@
 def rank(spec: JobSpec, slot: Slot) -> tuple[float, ...]:
     """What makes one machine better than another for a task: the least wins."""
     left = (slot.free[0] - spec.vcpus) / max(slot.total[0], 1e-9)
-    return slot.strain, fetch_s(spec, slot), left
+    return slot.strain, fetch_s(spec, slot) + slot.delay_s, left
 
 
 def choose_all(
--- a/src/chalkgrade/queues.py
+++ b/src/chalkgrade/queues.py
@@ -5,12 +5,15 @@
 One record of all queues is kept in the state service across leaders.
 """
 
+import math
+
 import msgspec
 
 from chalkgrade import constants
+from chalkgrade.fleet import Flavor
 from chalkgrade.jobs import Job
 from chalkgrade.outside import Clock
-from chalkgrade.settings import Settings
+from chalkgrade.settings import Objective, Settings
 from chalkgrade.shares import Declaration, Vector
 
 SHARES_KEY = "cg/shares"
@@ -39,8 +42,9 @@
 class Queues:
     """All queues' records, and the estimates that rounds and renting share."""
 
-    def __init__(self, settings: Settings, clock: Clock) -> None:
+    def __init__(self, settings: Settings, clock: Clock, flavors: dict[str, Flavor]) -> None:
         self.settings = settings
+        self.flavors = flavors
         self.clock = clock
         self.shares = Shares()
         self.stamp = 0
@@ -57,7 +61,7 @@
         burst = tuple(amount * work for amount in spec.room)
         alpha = constants.ESTIMATE_ALPHA
         gap = max(constants.DECLARATION_MIN_GAP_S, job.at - record.last)
-        due = spec.dueS or 0.0
+        due = spec.dueS or min((a.within_s for a in self._aims(job, "finished")), default=0.0)
         if record.last == 0.0:
             record.burst, record.deadline = burst, due
             record.period = max(due, constants.DECLARATION_MIN_GAP_S)
@@ -99,38 +103,58 @@
         record = self.shares.queues.get(queue_name(job))
         return max(1.0, job.spec.expectedS * (record.correction if record else 1.0))
 
+    def _aims(self, job: Job, kind: str) -> list[Objective]:
+        aims = self.settings.cluster.objectives
+        return [a for a in aims if a.jobclass == job.spec.jobclass and a.kind == kind]
+
     def order(self, job: Job) -> tuple[float, ...]:
         """Urgency first; then bursts that can still meet a bound, shortest remaining first.
 
         Step 5 serves a soft burst until its deadline: past it, a burst yields to
-        those that can still be met. Batch jobs keep their order of arrival.
+        those that can still be met. Jobs without any bound keep their order of arrival.
         """
         age = self.clock.wall() - job.at
         run_s = self.run_s(job)
         bounds = self.bounds(job)
         missed = sum(1 for bound in bounds if age + run_s > bound)
         remaining = 0.0
-        if job.spec.dueS is not None and missed < len(bounds):
+        if missed < len(bounds):
             remaining = (len(job.waiting) + len(job.live)) * run_s * max(job.spec.vcpus, 1e-3)
         return -job.spec.rank, missed, remaining, job.at
 
     def bounds(self, job: Job) -> list[float]:
         """The times from submission by which the users count a job as served."""
-        aims = [a for a in self.settings.cluster.objectives if a.jobclass == job.spec.jobclass]
         if job.spec.dueS is not None:
             due = job.spec.dueS
-            return [due * a.times for a in aims if a.kind == "deadline"] or [due]
-        return [a.within_s for a in aims if a.kind == "finished"]
-
-    def due_s(self, job: Job) -> float:
-        """When a job should be over, from its submission: its own word or its class's aims."""
-        due = job.spec.dueS if job.spec.dueS is not None else float("inf")
-        for aim in self.settings.cluster.objectives:
-            if aim.jobclass == job.spec.jobclass and aim.within_s > 0:
-                extra = self.run_s(job) if aim.kind == "wait" else 0.0
-                due = min(due, aim.within_s + extra)
-        return due
+            return [due * a.times for a in self._aims(job, "deadline")] or [due]
+        return [a.within_s for a in self._aims(job, "finished")]
+
+    def lead_s(self, job: Job) -> float:
+        """From deciding an attempt to its start: the image, and the next report."""
+        pull = min((flavor.pullGbPerS for flavor in self.flavors.values()), default=1.0)
+        return job.spec.pullGb / max(pull, 1e-6) + self.settings.cluster.workers.report_s / 2
 
     def slack(self, job: Job) -> float:
-        """How long a job's tasks can wait without missing its deadline."""
-        return self.due_s(job) - (self.clock.wall() - job.at) - self.run_s(job)
+        """How long the last of a job's tasks may wait, for the next bound it can still meet.
+
+        Infinite for a job without bounds, negative when all are missed.
+        """
+        run_s = self.run_s(job)
+        latest = [bound - run_s for bound in self.bounds(job)]
+        latest += [aim.within_s for aim in self._aims(job, "wait")]
+        if not latest:
+            return float("inf")
+        gone = self.clock.wall() - job.at + self.lead_s(job)
+        return min((at - gone for at in latest if at >= gone), default=-1.0)
+
+    def needed(self, job: Job) -> int:
+        """How many of a job's tasks must run at once for its next bound (step 4: d over t).
+
+        Bursts of a queue overlap here, so that the fixed rate of a queue is the
+        sum of what its bursts need now, whole tasks and whole waves of them.
+        """
+        slack = self.slack(job)
+        if slack < 0 or slack == float("inf"):
+            return 0
+        waves = int(slack / self.run_s(job)) + 1
+        return math.ceil((len(job.waiting) + len(job.live)) / waves)
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -4,6 +4,7 @@
 decided goes back into both. No input or output.
 """
 
+import itertools
 from collections import defaultdict
 from collections.abc import Iterable
 
@@ -111,12 +112,36 @@
         placed = self._fill_guarantees(ready)
         demands = self._demands(ready, capacity)
         for queue, grant in allocate(list(demands.values()), capacity):
-            placed += self._fill(ready[queue], minus(grant, self.held[queue]), reserve=True)
+            budget = minus(grant, self.held[queue])
+            if demands[queue].kind is Kind.HARD:
+                placed += self._fill(ready[queue], budget, reserve=True, needed=True)
+            else:
+                placed += self._fill_near_first(ready[queue], budget, reserve=True)
         order = spare_order(demands.values(), lambda d: dominant(self.held[d.queue], capacity))
         for queue in order:
-            placed += self._fill(ready[queue], None, reserve=False)
+            placed += self._fill_near_first(ready[queue], None, reserve=False)
         return placed
 
+    def _fill_near_first(self, jobs: list[Job], budget: Vector | None, reserve: bool) -> int:
+        """Beyond what bounds need, work goes first to where its image is.
+
+        Fetching can take as long as running, and the CPU idles meanwhile. Only
+        within one urgency: less urgent work is never preferred for its image.
+        """
+        placed = 0
+        for _, group in itertools.groupby(jobs, key=lambda job: job.spec.rank):
+            mates = list(group)
+            for local in (True, False):
+                count, budget = self._place_all(mates, budget, reserve and not local, local)
+                placed += count
+        return placed
+
+    def _fill(
+        self, jobs: list[Job], budget: Vector | None, reserve: bool, needed: bool = False
+    ) -> int:
+        """Place waiting tasks in order, within a grant (None: whatever is free)."""
+        return self._place_all(jobs, budget, reserve, needed=needed)[0]
+
     def _look(self, least: float) -> Vector:
         """Sort the usable machines by whether anything fits them; all their room."""
         capacity = ZERO
@@ -162,6 +187,7 @@
             flavor.pullGbPerS,
             machine.failures,
             fetching,
+            self.fleet.delay_s(machine),
             lambda: [self._occupant(attempt) for attempt in machine.attempts.values()],
         )
 
@@ -216,7 +242,7 @@
         # Over all teams: an urgent job must not lose the first machine to another team's batch.
         chosen.sort(key=self.queues.order)
         self.guaranteed = True
-        placed = self._fill(chosen, None, reserve=True)
+        placed = self._fill_near_first(chosen, None, reserve=True)
         self.guaranteed = False
         return placed
 
@@ -245,13 +271,19 @@
                 work = (count + len(job.live)) * queues.run_s(job)
                 remaining += work * dominant(job.spec.room, capacity)
             declaration = declarations.get(queue)
+            rate = declaration.rate if declaration else ZERO
+            # Bursts that overlap add up: the rate is at least what their bounds need now.
+            now = ZERO
+            for job in jobs:
+                count = max(len(job.live), queues.needed(job))
+                now = plus(now, tuple(a * count for a in job.spec.room))
             demands[queue] = Demand(
                 queue,
                 jobs[0].spec.owner,
                 kind,
                 task,
                 wants,
-                declaration.rate if declaration else ZERO,
+                tuple(max(a, b) for a, b in zip(rate, now, strict=True)),
                 remaining,
                 urgency=max(job.spec.rank for job in jobs),
                 held=self.held[queue],
@@ -271,8 +303,18 @@
                 zone_of[machine.site if machine else ""] += 1
         return zone_of
 
-    def _fill(self, jobs: list[Job], budget: Vector | None, reserve: bool) -> int:
-        """Place waiting tasks in order, within a grant (None: whatever is free)."""
+    def _place_all(
+        self,
+        jobs: list[Job],
+        budget: Vector | None,
+        reserve: bool,
+        local: bool = False,
+        needed: bool = False,
+    ) -> tuple[int, Vector | None]:
+        """Place waiting tasks in order within a budget; how many, and what is left of it.
+
+        `local`: only where the image is; `needed`: only what the job's next bound needs.
+        """
         placed = 0
         for job in jobs:
             spec = job.spec
@@ -281,13 +323,18 @@
             limit = self._limit(self.teams[spec.owner])
             zone_of = self._zones_held(job)
             if spec.shape == "gang":
+                if local:
+                    continue  # all at once, wherever there is room
                 count, taken = self._place_gang(job, zone_of, budget, limit, reserve)
                 placed += count
                 budget = None if budget is None else minus(budget, taken)
                 continue
             picker: Picker | None = None
             skip = self.strange.get(job.name, set())
-            for _ in range(constants.ROUND_TASKS):
+            most = constants.ROUND_TASKS
+            if needed:
+                most = min(most, self.queues.needed(job) - len(job.live))
+            for _ in range(most):
                 index = job.waiting.first(skip)
                 if index is None:
                     break  # all placed, or present somewhere without our doing: wait for that
@@ -299,7 +346,7 @@
                 if spec.rank < self.quota_rank.get(spec.owner, spec.rank):
                     break  # what the maximum leaves is kept for more urgent work of the team
                 if picker is None:
-                    picker = Picker(spec, self._open(job), self._shunned(job))
+                    picker = Picker(spec, self._open(job), self._shunned(job), local)
                 slot = picker.take(lambda: zones_open(spec, zone_of, self.zones))  # noqa: B023
                 if slot is None:
                     if reserve:
@@ -310,7 +357,7 @@
                 if budget is not None:
                     budget = minus(budget, spec.room)
                 placed += 1
-        return placed
+        return placed, budget
 
     def _open(self, job: Job) -> Iterable[Slot]:
         """Machines with room that are not kept for another job."""
