--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -15,7 +15,7 @@
 ESTIMATE_ALPHA: Final = 0.3  # weight of a new observation in the run-time correction of a class
 CORRECTION_MIN: Final = 0.3  # lower bound of that correction: estimates are off by half, not by 10x
 CORRECTION_MAX: Final = 3.0  # upper bound of the same
-DECLARATION_MIN_GAP_S: Final = 1.0  # s; shortest period a derived declaration may claim
+BURST_GAP_S: Final = 5.0  # s; jobs that come closer than this count as one burst of their queue
 
 # --- leadership -------------------------------------------------------------
 LEASE_TTL_S: Final = 3.0  # s; a crashed leader blocks the cluster for this long
@@ -70,6 +70,10 @@
 PREEMPT_EVERY_S: Final = 1.0  # s; looking for room to be made costs more than placing
 PREEMPT_RATIO: Final = 1.0  # work a stop may lose, over the work that it lets start
 ROUND_TASKS: Final = 500  # tasks of one job looked at per round; a round must stay short
+# Below this the order of jobs is worth more than the fetch; 0.13 and 1.0 were met.
+NEAR_RATIO: Final = 0.25  # fetch over run time, from which work goes first to where its image is
+SOON_STEP_S: Final = 2.5  # s; machines that report within one step are as good as each other
+FETCH_PATIENCE_S: Final = 12.0  # s; a second image is fetched beside another only if faster
 RESERVE_PART: Final = 0.25  # of the machines, that waiting granted work may keep for itself
 # 10 measured 0.714 over three days with three seeds of ulan-archive, 20 measured 0.694.
 PATIENCE_S: Final = 10.0  # s; no task should wait longer for a machine that could be rented
--- a/src/chalkgrade/intake.py
+++ b/src/chalkgrade/intake.py
@@ -182,7 +182,9 @@
                     raise
                 await asyncio.sleep(0.1)
             else:
-                return 201, {"nameId": name, "status": "pending"}
+                # The leader may hold it in a batch, aborted even: say what is true of it.
+                status, known = await self._read(name)
+                return (201, known) if status == 200 else LATER
         return LATER
 
     # -- queries ------------------------------------------------------------------
@@ -233,22 +235,23 @@
             return LATER
 
     async def _read(self, name: str) -> Answer:
-        """A fresh read: the end last, since what is looked at before turns into it atomically."""
+        """A fresh read: the end last, since what is looked at before turns into it atomically.
+
+        A job can have two records: a repeated submission that could not reach the
+        leader makes a second one. Either may say that the job was aborted.
+        """
         row = await self.ledger.get(JOB_PREFIX + name)
-        value: JobValue | None = None
+        values = [] if row is None else [msgspec.json.decode(row.v, type=JobValue)]
+        rows, _ = await self.ledger.scan(BATCH_PREFIX)
+        batches = [msgspec.json.decode(row.v, type=BatchValue).jobs for row in rows]
+        values += [job for jobs in batches for job in jobs if job.spec.nameId == name]
+        row = await self.ledger.get(END_PREFIX + name)
         if row is not None:
-            value = msgspec.json.decode(row.v, type=JobValue)
-        else:
-            rows, _ = await self.ledger.scan(BATCH_PREFIX)
-            jobs = [job for r in rows for job in msgspec.json.decode(r.v, type=BatchValue).jobs]
-            value = next((job for job in jobs if job.spec.nameId == name), None)
-        if value is None:
-            row = await self.ledger.get(END_PREFIX + name)
-            if row is None:
-                return UNKNOWN
             end = msgspec.json.decode(row.v, type=EndValue)
             return 200, self.remember(name, end.status, end.tasks)
-        if value.aborted:
+        if not values:
+            return UNKNOWN
+        if any(value.aborted for value in values):
             return 200, self.remember(name, "withdrawn", 0)
         rows, _ = await self.ledger.scan(f"{TASK_PREFIX}{name}/")
         done = running = 0
--- a/src/chalkgrade/jobs.py
+++ b/src/chalkgrade/jobs.py
@@ -122,7 +122,18 @@
 class Attempt:
     """One try of one task on one machine, as long as it may be there."""
 
-    __slots__ = ("job", "index", "number", "machine", "op", "sent", "state", "kill_at", "since")
+    __slots__ = (
+        "job",
+        "index",
+        "number",
+        "machine",
+        "op",
+        "sent",
+        "state",
+        "kill_at",
+        "since",
+        "decided",
+    )
 
     def __init__(self, job: "Job", index: int, number: int, machine: str, op: int) -> None:
         self.job = job
@@ -134,6 +145,7 @@
         self.state = ""  # as last reported; "" while it was never seen
         self.kill_at: float | None = None  # since when we want it stopped
         self.since = 0.0  # when it was first seen running
+        self.decided = 0.0  # when it was placed; 0: under an earlier leader
 
     @property
     def name(self) -> str:
--- a/src/chalkgrade/placement.py
+++ b/src/chalkgrade/placement.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from chalkgrade import constants
 from chalkgrade.jobs import JobSpec
 from chalkgrade.shares import Vector, fits, minus, plus
 
@@ -44,9 +45,17 @@
     fetching: set[str] = field(default_factory=set)
     delay_s: float = 0.0  # until a launch can be sent there
     look: Callable[[], list[Occupant]] = list  # asked only where room is to be made
+    kept_for: str = ""  # the job that room is kept for, and how much: the rest is free for all
+    kept: Vector = (0.0, 0.0, 0.0)
     touched: bool = False  # something was placed here in this round
     seen: list[Occupant] | None = None
 
+    def room_for(self, job: str) -> Vector:
+        """What a job may use of it."""
+        if not self.kept_for or self.kept_for == job:
+            return self.free
+        return minus(self.free, self.kept)
+
     def knows(self, bundle: str) -> bool:
         """Whether an image is there, or on its way."""
         return bundle in self.images or bundle in self.fetching
@@ -89,6 +98,17 @@
     return whole * 0.5 if spec.bundle in slot.fetching else whole * (1 + len(slot.fetching))
 
 
+def crowded(spec: JobSpec, slot: Slot) -> bool:
+    """Whether other images are being fetched there, so that one more takes too long.
+
+    Fetches share a machine's rate: each of four takes four times as long, and
+    all the CPUs that wait for them stand idle.
+    """
+    if not spec.pullGb or not slot.fetching or slot.knows(spec.bundle):
+        return False
+    return fetch_s(spec, slot) > constants.FETCH_PATIENCE_S
+
+
 def choose(
     spec: JobSpec, slots: Iterable[Slot], zones: set[str], avoid: Iterable[str] = ()
 ) -> Slot | None:
@@ -97,7 +117,11 @@
     best_key: tuple[float, ...] = ()
     shunned = set(avoid)
     for slot in slots:
-        if slot.site not in zones or slot.name in shunned or not fits(spec.room, slot.free):
+        if slot.site not in zones or slot.name in shunned:
+            continue
+        if not fits(spec.room, slot.room_for(spec.nameId)):
+            continue
+        if crowded(spec, slot):
             continue
         if not allowed(spec, slot.hosttype, slot.site, slot.standby):
             continue
@@ -127,9 +151,9 @@
         # Slots come in few kinds: whether a job may use one is asked once a kind.
         may: dict[tuple[str, str, bool], bool] = {}
         for number, slot in enumerate(slots):
-            if not fits(spec.room, slot.free) or slot.name in shunned:
+            if not fits(spec.room, slot.room_for(spec.nameId)) or slot.name in shunned:
                 continue
-            if local and spec.pullGb and not slot.knows(spec.bundle):
+            if crowded(spec, slot) or (local and spec.pullGb and not slot.knows(spec.bundle)):
                 continue
             kind = (slot.hosttype, slot.site, slot.standby)
             if kind not in may:
@@ -147,7 +171,7 @@
                 heapq.heappop(self._heap)
                 continue
             occupy(slot, self._spec)
-            if fits(self._spec.room, slot.free):
+            if fits(self._spec.room, slot.room_for(self._spec.nameId)):
                 heapq.heapreplace(self._heap, (rank(self._spec, slot), number, slot))
             else:
                 heapq.heappop(self._heap)
@@ -156,9 +180,15 @@
 
 
 def rank(spec: JobSpec, slot: Slot) -> tuple[float, ...]:
-    """What makes one machine better than another for a task: the least wins."""
+    """What makes one machine better than another for a task: the least wins.
+
+    The time to a machine's next report counts in steps: within one the tightest
+    machine wins, so that others drain and whole machines come free for work
+    that needs them.
+    """
     left = (slot.free[0] - spec.vcpus) / max(slot.total[0], 1e-9)
-    return slot.strain, fetch_s(spec, slot) + slot.delay_s, left
+    step = constants.SOON_STEP_S
+    return slot.strain, fetch_s(spec, slot) + slot.delay_s // step * step, left
 
 
 def choose_all(
--- a/src/chalkgrade/queues.py
+++ b/src/chalkgrade/queues.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from operator import add
 
 import msgspec
 
@@ -24,6 +25,8 @@
     """What is kept of a queue across leaders."""
 
     burst: Vector = ZERO  # amount-seconds a burst asks for, smoothed
+    coming: Vector = ZERO  # the same of the burst that is coming in
+    began: float = 0.0  # wall time of its first job
     period: float = 0.0  # s between bursts, smoothed
     deadline: float = 0.0  # s a burst has, smoothed; 0: a batch queue
     correction: float = 1.0  # observed run time over the owner's estimate
@@ -51,23 +54,28 @@
         return self.shares.queues.setdefault(job.queue, QueueRecord())
 
     def observe_submission(self, job: Job) -> None:
-        """Derive a queue's declaration from what is submitted."""
+        """Derive a queue's declaration from what is submitted.
+
+        Jobs that come together are one burst. Taken one by one, they would
+        claim a period of a moment, fail the safety check, and lose their rate.
+        """
         record, spec = self.record(job), job.spec
         work = spec.tasks * max(spec.expectedS, 1.0) * record.correction
-        burst = tuple(amount * work for amount in spec.room)
+        more = tuple(amount * work for amount in spec.room)
         alpha = constants.ESTIMATE_ALPHA
-        gap = max(constants.DECLARATION_MIN_GAP_S, job.at - record.last)
         due = spec.dueS or min((a.within_s for a in self._aims(job, "finished")), default=0.0)
         if record.last == 0.0:
-            record.burst, record.deadline = burst, due
-            record.period = max(due, constants.DECLARATION_MIN_GAP_S)
-        else:
-            mixed = [
-                old + alpha * (new - old) for old, new in zip(record.burst, burst, strict=True)
-            ]
-            record.burst = (mixed[0], mixed[1], mixed[2])
-            record.period += alpha * (gap - record.period)
-            record.deadline += alpha * (due - record.deadline)
+            record.began, record.period = job.at, max(due, constants.BURST_GAP_S)
+            record.deadline = due
+        elif job.at - record.last > constants.BURST_GAP_S:
+            old = record.burst if any(record.burst) else record.coming
+            record.burst = tuple(
+                o + alpha * (n - o) for o, n in zip(old, record.coming, strict=True)
+            )
+            record.period += alpha * (job.at - record.began - record.period)
+            record.coming, record.began = ZERO, job.at
+        record.deadline += alpha * (due - record.deadline)
+        record.coming = tuple(map(add, record.coming, more))
         record.last = job.at
 
     def observe_run(self, job: Job, seconds: float) -> None:
@@ -84,9 +92,8 @@
         out: dict[str, Declaration | None] = {}
         for name, record in self.shares.queues.items():
             bursty = record.deadline > 0 and record.period > 0
-            out[name] = (
-                Declaration(record.burst, record.period, record.deadline) if bursty else None
-            )
+            demand = record.burst if any(record.burst) else record.coming
+            out[name] = Declaration(demand, record.period, record.deadline) if bursty else None
         for burst in self.settings.operator.bursts:
             demand = (burst.cpu_seconds, 0.0, 0.0)
             out[f"{burst.team}/{burst.jobclass}"] = Declaration(
@@ -125,10 +132,18 @@
             return [due * a.times for a in self._aims(job, "deadline")] or [due]
         return [a.within_s for a in self._aims(job, "finished")]
 
+    def fetch_s(self, job: Job) -> float:
+        """How long a machine of the slowest kind fetches a job's image."""
+        pull = min((flavor.pullGbPerS for flavor in self.flavors.values()), default=1.0)
+        return job.spec.pullGb / max(pull, 1e-6)
+
     def lead_s(self, job: Job) -> float:
         """From deciding an attempt to its start: the image, and the next report."""
-        pull = min((flavor.pullGbPerS for flavor in self.flavors.values()), default=1.0)
-        return job.spec.pullGb / max(pull, 1e-6) + self.settings.cluster.workers.report_s / 2
+        return self.fetch_s(job) + self.settings.cluster.workers.report_s / 2
+
+    def homely(self, job: Job) -> bool:
+        """Whether a job should look for its image first, at the cost of the order of jobs."""
+        return self.fetch_s(job) > constants.NEAR_RATIO * self.run_s(job)
 
     def slack(self, job: Job) -> float:
         """How long the last of a job's tasks may wait, for the next bound it can still meet.
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -45,7 +45,8 @@
     """How long an attempt will still run; an overdue one, for a part of what it has run."""
     run_s = queues.run_s(attempt.job)
     if not attempt.since:
-        return run_s
+        gone = now - attempt.decided if attempt.decided else 0.0
+        return run_s + max(0.0, queues.fetch_s(attempt.job) - gone)
     ran = now - attempt.since
     return max(run_s - ran, constants.OVERDUE_PART * ran)
 
@@ -74,7 +75,7 @@
         self.stopped = 0
         self.used: dict[str, Vector] = defaultdict(lambda: ZERO)
         self.held: dict[str, Vector] = defaultdict(lambda: ZERO)
-        self.reserved: dict[str, str] = {}  # machine -> job it is kept for
+        self.kept = 0  # machines that room is kept on
         self.guaranteed = False  # placing what a guarantee covers
         self.quota_rank: dict[str, int] = {}  # team at its maximum -> urgency it keeps room for
         self.slots: list[Slot] = []  # machines with room
@@ -111,15 +112,26 @@
             jobs.sort(key=self.queues.order)
         placed = self._fill_guarantees(ready)
         demands = self._demands(ready, capacity)
-        for queue, grant in allocate(list(demands.values()), capacity):
-            budget = minus(grant, self.held[queue])
-            if demands[queue].kind is Kind.HARD:
-                placed += self._fill(ready[queue], budget, reserve=True, needed=True)
-            else:
+        grants = allocate(list(demands.values()), capacity)
+        hard = [(queue, grant) for queue, grant in grants if demands[queue].kind is Kind.HARD]
+        for _, group in itertools.groupby(hard, key=lambda entry: demands[entry[0]].urgency):
+            # What bounds need goes anywhere, but first where its image is.
+            alike = list(group)
+            for local in (True, False):
+                for queue, grant in alike:
+                    budget = minus(grant, self.held[queue])
+                    placed += self._place_all(ready[queue], budget, not local, local, True)[0]
+        for queue, grant in grants:
+            if demands[queue].kind is not Kind.HARD:
+                budget = minus(grant, self.held[queue])
                 placed += self._fill_near_first(ready[queue], budget, reserve=True)
         order = spare_order(demands.values(), lambda d: dominant(self.held[d.queue], capacity))
+        least = min(demand.urgency for demand in demands.values())
         for queue in order:
-            placed += self._fill_near_first(ready[queue], None, reserve=False)
+            # Urgent work that is too late for its bounds would else never see two CPUs
+            # of one machine free at once: the small tasks behind it take each of them.
+            urgent = demands[queue].urgency > least
+            placed += self._fill_near_first(ready[queue], None, reserve=urgent)
         return placed
 
     def _fill_near_first(self, jobs: list[Job], budget: Vector | None, reserve: bool) -> int:
@@ -136,12 +148,6 @@
                 placed += count
         return placed
 
-    def _fill(
-        self, jobs: list[Job], budget: Vector | None, reserve: bool, needed: bool = False
-    ) -> int:
-        """Place waiting tasks in order, within a grant (None: whatever is free)."""
-        return self._place_all(jobs, budget, reserve, needed=needed)[0]
-
     def _look(self, least: float) -> Vector:
         """Sort the usable machines by whether anything fits them; all their room."""
         capacity = ZERO
@@ -320,6 +326,7 @@
             spec = job.spec
             if budget is not None and not fits(spec.room, budget):
                 continue
+            near = local and self.queues.homely(job)
             limit = self._limit(self.teams[spec.owner])
             zone_of = self._zones_held(job)
             if spec.shape == "gang":
@@ -346,7 +353,7 @@
                 if spec.rank < self.quota_rank.get(spec.owner, spec.rank):
                     break  # what the maximum leaves is kept for more urgent work of the team
                 if picker is None:
-                    picker = Picker(spec, self._open(job), self._shunned(job), local)
+                    picker = Picker(spec, self.slots, self._shunned(job), near)
                 slot = picker.take(lambda: zones_open(spec, zone_of, self.zones))  # noqa: B023
                 if slot is None:
                     if reserve:
@@ -359,12 +366,6 @@
                 placed += 1
         return placed, budget
 
-    def _open(self, job: Job) -> Iterable[Slot]:
-        """Machines with room that are not kept for another job."""
-        if not self.reserved:
-            return self.slots
-        return [s for s in self.slots if self.reserved.get(s.name, job.name) == job.name]
-
     def _shunned(self, job: Job) -> Iterable[str]:
         return job.failed_on if len(job.failed_on) < 3 else ()
 
@@ -393,7 +394,7 @@
         if not fits(plus(self.used[spec.owner], need), limit):
             self._hold_quota(job, limit)
             return 0, ZERO
-        found = choose_all(spec, count, list(self._open(job)), zone_of, self._shunned(job))
+        found = choose_all(spec, count, self.slots, zone_of, self._shunned(job))
         if found is None:
             if reserve:
                 self._reserve(job, zones_open(spec, zone_of, self.zones))
@@ -407,6 +408,7 @@
     def _place(self, job: Job, index: int, slot: Slot, number: int | None = None) -> None:
         """Put a task on a slot whose room it has taken."""
         attempt = job.place(index, slot.name, number)
+        attempt.decided = self.now
         self.fleet.hold(attempt)
         self.fleet.machines[slot.name].busy_at = self.now
         owner, queue = job.spec.owner, job.queue
@@ -441,21 +443,30 @@
         if not any(fits(room, spec.room) and room != spec.room for room in self.rooms):
             return  # nothing smaller waits: whatever frees up is as good for this job
         every = len(self.slots) + len(self.full)
-        most = max(1, int(every * constants.RESERVE_PART)) - len(self.reserved)
+        most = max(1, int(every * constants.RESERVE_PART)) - self.kept
         most = min(len(job.waiting), most)
         chosen: list[float] = []
-        for wait, name, slot in self._fitting(spec):
+        for wait, _, slot in self._fitting(spec):
             if len(chosen) >= most:
                 break
             # What was placed there in this round is not in its wait: it is not soon free.
-            if name not in self.reserved and slot.site in zones and not slot.touched:
+            if not slot.kept_for and slot.site in zones and not slot.touched:
                 chosen.append(wait)
-                self.reserved[name] = job.name
+                self._keep(slot, job)
         late = max(constants.PREEMPT_WAIT_S, self.queues.slack(job))
+        work = spec.vcpus * self.queues.run_s(job)
         for wait in chosen:
-            if wait > late and not self._make_room(job, zones, own=False):
+            # In time, room comes free by itself, but part of it idles until all of it is:
+            # that is what stopping tasks that have hardly begun may cost as well.
+            part = constants.PREEMPT_RATIO * work if wait > late else spec.vcpus * wait / 2
+            if not self._make_room(job, zones, False, min(part, constants.PREEMPT_RATIO * work)):
                 return
 
+    def _keep(self, slot: Slot, job: Job) -> None:
+        """Keep room for one task; on a large machine the rest stays free for others."""
+        self.kept += not slot.kept_for
+        slot.kept_for, slot.kept = job.name, job.spec.room
+
     def _hold_quota(self, job: Job, limit: Vector) -> None:
         """A team at its maximum: keep what frees up for its most urgent waiting work.
 
@@ -477,7 +488,8 @@
                 if mate.owner == spec.owner and mate.left_s <= slack:
                     over = minus(over, mate.room)
         zones = zones_open(spec, {}, self.zones)
-        while (over[0] > 0 or over[1] > 0) and self._make_room(job, zones, own=True):
+        work = constants.PREEMPT_RATIO * spec.vcpus * self.queues.run_s(job)
+        while (over[0] > 0 or over[1] > 0) and self._make_room(job, zones, True, work):
             over = minus(over, spec.room)
 
     def _excess(self) -> dict[str, Vector]:
@@ -493,8 +505,8 @@
                     out[occupant.owner] = (max(0.0, left[0]), max(0.0, left[1]))
         return out
 
-    def _make_room(self, job: Job, zones: set[str], own: bool) -> bool:
-        """Stop the less urgent tasks whose loss is least, if the loss is worth it."""
+    def _make_room(self, job: Job, zones: set[str], own: bool, most: float) -> bool:
+        """Stop the less urgent tasks whose loss is least, if it is at most so many CPU-seconds."""
         spec = job.spec
         if not self.preempt or self.queues.slack(job) < 0:
             return False  # too late already: nobody else's work is given up for it
@@ -514,15 +526,13 @@
             self._offers[key] = Offers(spec, slots, own, excess)
 
         def is_open(slot: Slot) -> bool:
-            kept = self.reserved.get(slot.name, job.name) == job.name
-            return kept and slot.site in zones and not slot.touched
+            return slot.kept_for in ("", job.name) and slot.site in zones and not slot.touched
 
-        most = constants.PREEMPT_RATIO * spec.vcpus * self.queues.run_s(job)
         taken = self._offers[key].take(is_open, most)
         if taken is None:
             return False
         slot, found = taken
-        self.reserved[slot.name] = job.name
+        self._keep(slot, job)
         machine = self.fleet.machines[slot.name]
         for victim in found:
             victim.stopping = True
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -1,14 +1,16 @@
 """Whole days of the service in virtual time, and proof that the rule checks bite."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import pytest
 
 from chalkgrade import controller, fleet, intake, ledger, rounds
 from chalkgrade.jobs import Job
 from chalkgrade.leadership import LEADER_KEY, Leadership
-from world import Broken, World, play
+from world import Broken, VirtualLoop, World, close, play
 
 # Each seed draws its own jobs, machines, troubles and message fates.
 SEEDS = [*range(24)]
@@ -160,3 +162,45 @@
         return world.started, world.polls, world.store.rev, world.now
 
     assert trace(lambda: play(3)) == trace(lambda: play(3))
+
+
+def test_a_repeated_submission_out_of_the_leaders_sight_does_not_undo_an_abort() -> None:
+    """Found by a seeded day: the leader's record is in a batch that the other node did not read.
+
+    The job's tasks still run, so it has no final key yet; the node could
+    commit a second record of it, and told its user that it was pending.
+    """
+
+    async def story(world: World) -> None:
+        for member in world.nodes:
+            world.boot(member)
+        world.spawn(world.sweep())
+        await asyncio.sleep(3.0)
+        spec = world.spec(1, shape="service", jobclass="service", oneZone=False, spread=False)
+        spec |= {"hosttypes": None, "site": None, "standby": True, "owner": "blue"}
+        world.jobs[spec["nameId"]] = {"spec": spec, "aborted": None, "over": None, "asked": True}
+        up = [node for node in world.nodes.values() if node is not None]
+        leader = next(node for node in up if node.term is not None)
+        other = next(node for node in up if node.term is None)
+        raw = msgspec.json.encode(spec)
+        assert (await leader.handle("POST", "/v2/runs", raw))[0] == 201
+        while not any(job.live for job in leader.term.jobs.values()):  # type: ignore[union-attr]
+            await asyncio.sleep(0.5)
+        status, body = await leader.handle("POST", f"/v2/runs/{spec['nameId']}/abort", b"")
+        assert (status, body["status"]) == (200, "withdrawn")
+        world.cut({other.settings.member}, {leader.settings.member}, 60.0, False)
+        status, body = await other.handle("POST", "/v2/runs", raw)
+        assert status in (200, 201, 503)
+        assert body.get("status", "withdrawn") == "withdrawn"
+        for _ in range(40):
+            await asyncio.sleep(1.0)
+            status, body = await other.handle("GET", f"/v2/runs/{spec['nameId']}", b"")
+            assert status == 503 or body["status"] == "withdrawn"
+
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    world = World(loop, 1)
+    try:
+        loop.run_until_complete(story(world))
+    finally:
+        close(world)
