--- a/src/chalkgrade/queues.py
+++ b/src/chalkgrade/queues.py
@@ -158,14 +158,15 @@
         gone = self.clock.wall() - job.at + self.lead_s(job)
         return min((at - gone for at in latest if at >= gone), default=-1.0)
 
-    def needed(self, job: Job) -> int:
+    def needed(self, job: Job, part: float = 1.0) -> int:
         """How many of a job's tasks must run at once for its next bound (step 4: d over t).
 
         Bursts of a queue overlap here, so that the fixed rate of a queue is the
-        sum of what its bursts need now, whole tasks and whole waves of them.
+        sum of what its bursts need now, whole tasks and whole waves of them. They
+        are laid into a part of the time that is left.
         """
         slack = self.slack(job)
         if slack < 0 or slack == float("inf"):
             return 0
-        waves = int(slack / self.run_s(job)) + 1
+        waves = int(part * slack / self.run_s(job)) + 1
         return math.ceil((len(job.waiting) + len(job.live)) / waves)
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -104,6 +104,7 @@
                 ready[job.queue].append(job)
         if not ready:
             return 0
+        self.least = min(job.spec.rank for jobs in ready.values() for job in jobs)
         self.rooms = {job.spec.room for jobs in ready.values() for job in jobs}
         capacity = self._look(min(room[0] for room in self.rooms))
         if not self.slots and not self.full:
@@ -126,11 +127,10 @@
                 budget = minus(grant, self.held[queue])
                 placed += self._fill_near_first(ready[queue], budget, reserve=True)
         order = spare_order(demands.values(), lambda d: dominant(self.held[d.queue], capacity))
-        least = min(demand.urgency for demand in demands.values())
         for queue in order:
             # Urgent work that is too late for its bounds would else never see two CPUs
             # of one machine free at once: the small tasks behind it take each of them.
-            urgent = demands[queue].urgency > least
+            urgent = demands[queue].urgency > self.least
             placed += self._fill_near_first(ready[queue], None, reserve=urgent)
         return placed
 
@@ -281,7 +281,7 @@
             # Bursts that overlap add up: the rate is at least what their bounds need now.
             now = ZERO
             for job in jobs:
-                count = max(len(job.live), queues.needed(job))
+                count = max(len(job.live), self._needed(job))
                 now = plus(now, tuple(a * count for a in job.spec.room))
             demands[queue] = Demand(
                 queue,
@@ -296,6 +296,15 @@
             )
         return demands
 
+    def _needed(self, job: Job) -> int:
+        """What a job's next bound needs now; the least urgent work is in time just in time.
+
+        More urgent work gets its room early: estimates err, images come late,
+        and what runs just in time for it would keep it waiting.
+        """
+        early = job.spec.rank > self.least
+        return self.queues.needed(job, constants.EARLY_PART if early else 1.0)
+
     # -- what goes where --------------------------------------------------------------
 
     def _limit(self, team: Team) -> Vector:
@@ -340,7 +349,7 @@
             skip = self.strange.get(job.name, set())
             most = constants.ROUND_TASKS
             if needed:
-                most = min(most, self.queues.needed(job) - len(job.live))
+                most = min(most, self._needed(job) - len(job.live))
             for _ in range(most):
                 index = job.waiting.first(skip)
                 if index is None:
@@ -454,12 +463,9 @@
                 chosen.append(wait)
                 self._keep(slot, job)
         late = max(constants.PREEMPT_WAIT_S, self.queues.slack(job))
-        work = spec.vcpus * self.queues.run_s(job)
+        work = constants.PREEMPT_RATIO * spec.vcpus * self.queues.run_s(job)
         for wait in chosen:
-            # In time, room comes free by itself, but part of it idles until all of it is:
-            # that is what stopping tasks that have hardly begun may cost as well.
-            part = constants.PREEMPT_RATIO * work if wait > late else spec.vcpus * wait / 2
-            if not self._make_room(job, zones, False, min(part, constants.PREEMPT_RATIO * work)):
+            if wait > late and not self._make_room(job, zones, False, work):
                 return
 
     def _keep(self, slot: Slot, job: Job) -> None:
