Work stays where enough machines hold its image; images known from the log

Cause: price-forecast tasks were sent to machines without their image though enough held it; a new leader knew of no image that was not in use.

--- a/src/chalkgrade/book.py
+++ b/src/chalkgrade/book.py
@@ -143,6 +143,9 @@
         self.flush_wanted = asyncio.Event()
         self.committed = Signal()
         self.orphans: list[str] = []  # pages whose job is over, to be removed
+        # machine -> images it was given work for, with their sizes: a hint for a new leader,
+        # who else would send work to fetch anew what is there.
+        self.images: dict[str, dict[str, float]] = {}
         self.batches: dict[str, Batch] = {}
         self.batch_number = 0
         self.admissions: dict[str, Admission] = {}
@@ -191,8 +194,12 @@
         for lsn, segment, entry in self.log.load(segments):
             for name, ops in entry.jobs:
                 job = self.jobs.get(name)
-                if job is not None:
-                    segment.refs |= {(name, page) for page in job.replay(lsn, ops)}
+                if job is None:
+                    continue
+                segment.refs |= {(name, page) for page in job.replay(lsn, ops)}
+                for _, _, what in ops:
+                    if isinstance(what, str):
+                        self.images.setdefault(what, {})[job.spec.bundle] = job.spec.pullGb
         # A page can be ahead of all segments that are left.
         pages = [page for job in self.jobs.values() for page in job.pages.values()]
         self.log.lsn = max([self.log.lsn, *(page.upto for page in pages)])
--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -73,6 +73,7 @@
 ROUND_TASKS: Final = 500  # tasks of one job looked at per round; a round must stay short
 # Below this the order of jobs is worth more than the fetch; 0.13 and 1.0 were met.
 NEAR_RATIO: Final = 0.25  # fetch over run time, from which work goes first to where its image is
+STAY_TURNS: Final = 3.0  # times the CPUs a job needs, that come free where its image is in time
 SOON_STEP_S: Final = 2.5  # s; machines that report within one step are as good as each other
 FETCH_PATIENCE_S: Final = 12.0  # s; a second image is fetched beside another only if faster
 RESERVE_PART: Final = 0.25  # of the machines, that waiting granted work may keep for itself
--- a/src/chalkgrade/controller.py
+++ b/src/chalkgrade/controller.py
@@ -179,6 +179,10 @@
             self.leadership.heard(report.baton)
             return 421, {}
         machine = self.fleet.take(report)
+        if machine is not None and machine.name in self.book.images:
+            known = self.book.images.pop(machine.name)
+            machine.image_gb |= known
+            machine.images = {**dict.fromkeys(known, self.clock.now()), **machine.images}
         answer: dict[str, Any] = {"baton": self.token, "orders": []}
         if machine is None:
             return 200, answer
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -127,11 +127,11 @@
                 budget = minus(grant, self.held[queue])
                 placed += self._fill_near_first(ready[queue], budget, reserve=True)
         order = spare_order(demands.values(), lambda d: dominant(self.held[d.queue], capacity))
-        for queue in order:
+        for urgency, names in itertools.groupby(order, key=lambda queue: demands[queue].urgency):
             # Urgent work that is too late for its bounds would else never see two CPUs
             # of one machine free at once: the small tasks behind it take each of them.
-            urgent = demands[queue].urgency > self.least
-            placed += self._fill_near_first(ready[queue], None, reserve=urgent)
+            mates = [job for queue in names for job in ready[queue]]
+            placed += self._fill_near_first(mates, None, reserve=urgency > self.least)
         return placed
 
     def _fill_near_first(self, jobs: list[Job], budget: Vector | None, reserve: bool) -> int:
@@ -154,6 +154,7 @@
         counts: dict[str, int] = defaultdict(int)
         self.strange: dict[str, set[int]] = defaultdict(set)
         self.zones: set[str] = set()
+        self.known: dict[str, float] = defaultdict(float)  # image -> CPUs of machines with it
         for machine in self.fleet.machines.values():
             flavor = self.flavors.get(machine.hosttype)
             strangers = machine.strangers()
@@ -165,6 +166,8 @@
                 continue
             counts[machine.hosttype] += 1
             self.zones.add(machine.site)
+            for image in machine.images:
+                self.known[image] += flavor.vcpus
             if flavor.vcpus - machine.used[0] + 1e-9 >= least:
                 self.slots.append(self._slot(machine))
             else:
@@ -296,6 +299,20 @@
             )
         return demands
 
+    def _stays(self, job: Job) -> bool:
+        """Whether enough machines hold a job's image, so that it need not be fetched to others.
+
+        Their CPUs come free about once a run; in the job's slack that has to
+        suffice several times over, since others want them too.
+        """
+        queues = self.queues
+        if not job.spec.pullGb or not queues.homely(job):
+            return False
+        run_s = queues.run_s(job)
+        slack = max(queues.slack(job), 2 * (run_s + queues.fetch_s(job)))
+        turns = self.known[job.spec.bundle] * slack / run_s
+        return turns >= constants.STAY_TURNS * len(job.waiting) * job.spec.vcpus
+
     def _needed(self, job: Job) -> int:
         """What a job's next bound needs now; the least urgent work is in time just in time.
 
@@ -336,6 +353,8 @@
             if budget is not None and not fits(spec.room, budget):
                 continue
             near = local and self.queues.homely(job)
+            if not local and self._stays(job):
+                continue
             limit = self._limit(self.teams[spec.owner])
             zone_of = self._zones_held(job)
             if spec.shape == "gang":
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -204,3 +204,43 @@
         loop.run_until_complete(story(world))
     finally:
         close(world)
+
+
+def test_a_new_leader_knows_where_images_are() -> None:
+    """Else it would spread work over machines that have to fetch what others hold."""
+
+    async def story(world: World) -> None:
+        for member in world.nodes:
+            world.boot(member)
+        world.spawn(world.sweep())
+        await asyncio.sleep(3.0)
+        spec = world.spec(1, shape="batch", jobclass="small", oneZone=False, spread=False)
+        spec |= {"hosttypes": None, "site": None, "standby": True, "owner": "blue"}
+        spec |= {"tasks": 40, "vcpus": 1.0, "memoryGb": 2.0, "expectedS": 6.0, "dueS": None}
+        world.jobs[spec["nameId"]] = {"spec": spec, "aborted": None, "over": None}
+        leader = next(n for n in world.nodes.values() if n is not None and n.term is not None)
+        answer = await leader.handle("POST", "/v2/runs", msgspec.json.encode(spec))
+        assert answer[0] == 201
+        while len(world.done) < 8:
+            assert world.now < 1200
+            await asyncio.sleep(0.5)
+        world.crash(leader.settings.member)
+        others = [node for node in world.nodes.values() if node is not None]
+        while not any(node.term is not None and node.term.ready for node in others):
+            assert world.now < 1200
+            await asyncio.sleep(0.5)
+        term = next(node.term for node in others if node.term is not None)
+        holders = {name for name, worker in world.workers.items() if worker.images}
+        assert holders
+        assert holders <= {
+            *term.book.images,
+            *(a.machine for j in term.jobs.values() for a in j.live.values()),
+        }
+
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    world = World(loop, 2)
+    try:
+        loop.run_until_complete(story(world))
+    finally:
+        close(world)
