Urgent work waits for half its slack only before less urgent work is stopped

Cause: gate-bid waited for machines to drain in the time the estimates gave, and came too late when they erred; its fetch comes on top.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -66,6 +66,7 @@
 RENT_MAX: Final = 50  # machines per request, from the protocol
 RELEASE_MAX: Final = 100  # names per request, from the protocol
 PREEMPT_WAIT_S: Final = 4.0  # s; urgent work that waits less gains nothing by stopping others
+SLACK_TRUST: Final = 0.5  # of its slack, that urgent work waits for room to come free by itself
 EARLY_PART: Final = 0.3  # of its slack, within which more urgent work should have started
 TELL_EVERY_S: Final = 10.0  # s; between two lines in the log on what runs and what waits
 PREEMPT_EVERY_S: Final = 1.0  # s; looking for room to be made costs more than placing
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -481,7 +481,8 @@
             if not slot.kept_for and slot.site in zones and not slot.touched:
                 chosen.append(wait)
                 self._keep(slot, job)
-        late = max(constants.PREEMPT_WAIT_S, self.queues.slack(job))
+        # What runs there may take longer than expected, and room alone is no start yet.
+        late = max(constants.PREEMPT_WAIT_S, constants.SLACK_TRUST * self.queues.slack(job))
         work = constants.PREEMPT_RATIO * spec.vcpus * self.queues.run_s(job)
         for wait in chosen:
             if wait > late and not self._make_room(job, zones, False, work):
