Work does not wait for ever for machines that hold its image; gangs get machines

Keeping to machines with the image is now bounded in time and never for gangs; a plan counts what fits at once.

--- a/src/chalkgrade/jobs.py
+++ b/src/chalkgrade/jobs.py
@@ -257,6 +257,7 @@
         self.failures = 0  # failed attempts in a row
         self.failed_on: dict[str, int] = {}
         self.not_before = 0.0
+        self.stays_until: float | None = None  # how long it keeps to machines with its image
         self.first_run: float | None = None
 
     @property
--- a/src/chalkgrade/rentals.py
+++ b/src/chalkgrade/rentals.py
@@ -222,7 +222,8 @@
     would start; where a task would wait longer than its job's patience, and
     longer than a new machine takes to boot, a machine is added.
     """
-    lanes = _Lanes(have)
+    machines = list(have)
+    lanes = _Lanes(machines)
     shut = set(blocked)
     out: dict[Pool, int] = {}
     for need in needs:
@@ -230,9 +231,25 @@
         width = max(1, math.ceil(spec.vcpus - 1e-9))
         every = {(f.sku, site, spot) for f in flavors.values() for site in f.sites for spot in BOTH}
         usable = sorted(pool for pool in every | set(lanes.pools) if allowed(spec, *pool))
+        gang = spec.shape == "gang"
+        missing = 0
+        if gang:
+            # All at once: what fits the machines one after the other does not help it.
+            rooms = [flavors.get(machine.pool[0]) for machine in machines if machine.pool in usable]
+            missing = need.tasks - sum(per_machine(spec, room) for room in rooms if room)
+        while missing > 0:
+            offer = _offer(spec, missing, float("inf"), flavors, shut)
+            if offer is None:
+                break
+            pool, count = offer
+            out[pool] = out.get(pool, 0) + 1
+            if out[pool] >= constants.RENT_MAX:
+                shut.add(pool)
+            lanes.add(pool, flavors[pool[0]].bootS, count * width)
+            missing -= count
         while left > 0:
             # Tasks that start at the same moment are laid at once.
-            tasks = max(1, min(left, lanes.first(usable) // width))
+            tasks = left if gang else max(1, min(left, lanes.first(usable) // width))
             taken = lanes.take(usable, tasks * width)
             full = sum(cpus for _, _, cpus in taken) == tasks * width
             start = max(free for _, free, _ in taken) if full else float("inf")
--- a/src/chalkgrade/renting.py
+++ b/src/chalkgrade/renting.py
@@ -124,7 +124,10 @@
             patience = max(constants.BOOT_PATIENCE_MIN_S, constants.BOOT_PATIENCE * flavor.bootS)
             if now - machine.born > patience and now - machine.known_at > 20:
                 return "never came up"
-        elif machine.reported_at is not None and silent > constants.SILENT_RELEASE_S:
+        elif (
+            machine.reported_at is not None
+            and silent > constants.SILENT_RELEASE_LEASES * self.fleet.lease_s
+        ):
             return "silent"
         if machine.failures >= constants.SUSPECT_FAILURES:
             # Its other tasks would fail too, or never end: they start afresh elsewhere.
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -303,15 +303,22 @@
         """Whether enough machines hold a job's image, so that it need not be fetched to others.
 
         Their CPUs come free about once a run; in the job's slack that has to
-        suffice several times over, since others want them too.
+        suffice several times over, since others want them too. Only for half of
+        that time: machines that hold the image may never suit this job.
         """
         queues = self.queues
-        if not job.spec.pullGb or not queues.homely(job):
+        if not job.spec.pullGb or job.spec.shape == "gang" or not queues.homely(job):
             return False
         run_s = queues.run_s(job)
-        slack = max(queues.slack(job), 2 * (run_s + queues.fetch_s(job)))
-        turns = self.known[job.spec.bundle] * slack / run_s
-        return turns >= constants.STAY_TURNS * len(job.waiting) * job.spec.vcpus
+        least = 2 * (run_s + queues.fetch_s(job))
+        slack = queues.slack(job)
+        time = least if slack == float("inf") else max(slack, least)
+        turns = self.known[job.spec.bundle] * time / run_s
+        if turns < constants.STAY_TURNS * len(job.waiting) * job.spec.vcpus:
+            return False
+        if job.stays_until is None:
+            job.stays_until = self.now + time / 2
+        return self.now < job.stays_until
 
     def _needed(self, job: Job) -> int:
         """What a job's next bound needs now; the least urgent work is in time just in time.
--- a/src/chalkgrade/settings.py
+++ b/src/chalkgrade/settings.py
@@ -151,8 +151,8 @@
         ("cluster.workers.report_s", workers.report_s, 0),
         ("cluster.workers.cancel_s", workers.cancel_s, workers.lease_s),
         ("cluster.state.rps", state.rps, 0),
-        ("cluster.state.write_rps", state.write_rps, 0),
-        ("cluster.state.value_kb", state.value_kb, 0),
+        ("cluster.state.write_rps", state.write_rps, constants.LEAST_WRITE_RPS),
+        ("cluster.state.value_kb", state.value_kb, constants.LEAST_VALUE_KB),
         ("cluster.state.txn_ops", state.txn_ops, 3),
         ("cluster.cloud.rps", cloud.rps, 0),
     ]
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -1,7 +1,7 @@
 """Whole days of the service in virtual time, and proof that the rule checks bite."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -164,6 +164,25 @@
     assert trace(lambda: play(3)) == trace(lambda: play(3))
 
 
+def _tell(story: Callable[[World], Awaitable[None]], seed: int) -> None:
+    """Play one story in a world whose controllers are up."""
+
+    async def begun(world: World) -> None:
+        for member in world.nodes:
+            world.boot(member)
+        world.spawn(world.sweep())
+        await asyncio.sleep(3.0)
+        await story(world)
+
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    world = World(loop, seed)
+    try:
+        loop.run_until_complete(begun(world))
+    finally:
+        close(world)
+
+
 def test_a_repeated_submission_out_of_the_leaders_sight_does_not_undo_an_abort() -> None:
     """Found by a seeded day: the leader's record is in a batch that the other node did not read.
 
@@ -172,10 +191,6 @@
     """
 
     async def story(world: World) -> None:
-        for member in world.nodes:
-            world.boot(member)
-        world.spawn(world.sweep())
-        await asyncio.sleep(3.0)
         spec = world.spec(1, shape="service", jobclass="service", oneZone=False, spread=False)
         spec |= {"hosttypes": None, "site": None, "standby": True, "owner": "blue"}
         world.jobs[spec["nameId"]] = {"spec": spec, "aborted": None, "over": None, "asked": True}
@@ -197,23 +212,13 @@
             status, body = await other.handle("GET", f"/v2/runs/{spec['nameId']}", b"")
             assert status == 503 or body["status"] == "withdrawn"
 
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    world = World(loop, 1)
-    try:
-        loop.run_until_complete(story(world))
-    finally:
-        close(world)
+    _tell(story, 1)
 
 
 def test_a_new_leader_knows_where_images_are() -> None:
     """Else it would spread work over machines that have to fetch what others hold."""
 
     async def story(world: World) -> None:
-        for member in world.nodes:
-            world.boot(member)
-        world.spawn(world.sweep())
-        await asyncio.sleep(3.0)
         spec = world.spec(1, shape="batch", jobclass="small", oneZone=False, spread=False)
         spec |= {"hosttypes": None, "site": None, "standby": True, "owner": "blue"}
         spec |= {"tasks": 40, "vcpus": 1.0, "memoryGb": 2.0, "expectedS": 6.0, "dueS": None}
@@ -237,10 +242,29 @@
             *(a.machine for j in term.jobs.values() for a in j.live.values()),
         }
 
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    world = World(loop, 2)
-    try:
-        loop.run_until_complete(story(world))
-    finally:
-        close(world)
+    _tell(story, 2)
+
+
+def test_work_does_not_wait_for_ever_for_machines_that_hold_its_image() -> None:
+    """Found by real processes: a gang was sent only to them, and never by the way for gangs.
+
+    Nor may a job whose image is only where it can't run.
+    """
+
+    async def story(world: World) -> None:
+        leader = next(n for n in world.nodes.values() if n is not None and n.term is not None)
+        plain = {"jobclass": "small", "owner": "blue", "oneZone": False, "spread": False}
+        plain |= {"hosttypes": None, "site": None, "standby": True, "bundle": "img", "pullGb": 2.0}
+        plain |= {"expectedS": 1.0, "dueS": None, "savepointS": 0.0, "urgency": "standard"}
+        shapes = [("batch", 6, 1.0), ("gang", 3, 2.0), ("batch", 2, 8.0)]
+        for number, (shape, tasks, vcpus) in enumerate(shapes):
+            spec = world.spec(number, **plain)
+            spec |= {"shape": shape, "tasks": tasks, "vcpus": vcpus, "memoryGb": vcpus}
+            world.jobs[spec["nameId"]] = {"spec": spec, "aborted": None, "over": None}
+            answer = await leader.handle("POST", "/v2/runs", msgspec.json.encode(spec))
+            assert answer[0] == 201
+            while sum(name.startswith(spec["nameId"]) for name in world.done) < tasks:
+                assert world.now < 1300, (shape, vcpus)
+                await asyncio.sleep(0.5)
+
+    _tell(story, 3)
--- a/tests/test_placement_rentals.py
+++ b/tests/test_placement_rentals.py
@@ -180,3 +180,14 @@
     have = [Have(("small", "a", True), [(float(number % 7), 4)]) for number in range(400)]
     assert plan_rent([Need(spec(), 8000, 10.0, 1e9)], have, FLAVORS, []) == {}
     assert steps < 100
+
+
+def test_a_gang_that_the_machines_can_only_run_in_turns_gets_more() -> None:
+    """Found by real processes: short tasks seemed to come free in time, one after the other."""
+    have = [Have(("small", "a", True), [(0.0, 4)])]
+    gang = spec(shape="gang", tasks=3, vcpus=2.0, pullGb=0.0)
+    assert plan_rent([Need(gang, 3, 2.0, 10.0)], have, FLAVORS, []) == {("small", "a", True): 1}
+    assert plan_rent([Need(spec(tasks=3, vcpus=2.0), 3, 2.0, 10.0)], have, FLAVORS, []) == {}
+    # Fifteen CPUs are there, but a machine of four takes one task of three.
+    wide = spec(shape="gang", tasks=5, vcpus=3.0)
+    assert plan_rent([Need(wide, 5, 2.0, 10.0)], have * 4, FLAVORS, []) == {("small", "a", True): 1}
