--- a/src/chalkgrade/rentals.py
+++ b/src/chalkgrade/rentals.py
@@ -230,13 +230,20 @@
         spec, left = need.spec, need.tasks
         width = max(1, math.ceil(spec.vcpus - 1e-9))
         every = {(f.sku, site, spot) for f in flavors.values() for site in f.sites for spot in BOTH}
-        usable = sorted(pool for pool in every | set(lanes.pools) if allowed(spec, *pool))
+        # Machines too small for one task don't help it, however many of them are free.
+        usable = sorted(
+            pool
+            for pool in every | set(lanes.pools)
+            if allowed(spec, *pool)
+            and pool[0] in flavors
+            and per_machine(spec, flavors[pool[0]]) >= 1
+        )
         gang = spec.shape == "gang"
         missing = 0
         if gang:
             # All at once: what fits the machines one after the other does not help it.
-            rooms = [flavors.get(machine.pool[0]) for machine in machines if machine.pool in usable]
-            missing = need.tasks - sum(per_machine(spec, room) for room in rooms if room)
+            rooms = [flavors[machine.pool[0]] for machine in machines if machine.pool in usable]
+            missing = need.tasks - sum(per_machine(spec, room) for room in rooms)
         while missing > 0:
             offer = _offer(spec, missing, float("inf"), flavors, shut)
             if offer is None:
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -77,6 +77,7 @@
         self.held: dict[str, Vector] = defaultdict(lambda: ZERO)
         self.kept = 0  # machines that room is kept on
         self.guaranteed = False  # placing what a guarantee covers
+        self.patient = True  # work may wait for machines that hold its image
         self.quota_rank: dict[str, int] = {}  # team at its maximum -> urgency it keeps room for
         self.slots: list[Slot] = []  # machines with room
         self.full: list[Machine] = []  # usable machines without
@@ -132,6 +133,10 @@
             # of one machine free at once: the small tasks behind it take each of them.
             mates = [job for queue in names for job in ready[queue]]
             placed += self._fill_near_first(mates, None, reserve=urgency > self.least)
+        # What is left would idle: fetching images there takes nothing from anybody.
+        self.patient = False
+        for queue in order:
+            placed += self._place_all(ready[queue], None, False)[0]
         return placed
 
     def _fill_near_first(self, jobs: list[Job], budget: Vector | None, reserve: bool) -> int:
@@ -360,7 +365,7 @@
             if budget is not None and not fits(spec.room, budget):
                 continue
             near = local and self.queues.homely(job)
-            if not local and self._stays(job):
+            if not local and self.patient and self._stays(job):
                 continue
             limit = self._limit(self.teams[spec.owner])
             zone_of = self._zones_held(job)
@@ -488,8 +493,7 @@
             if not slot.kept_for and slot.site in zones and not slot.touched:
                 chosen.append(wait)
                 self._keep(slot, job)
-        # What runs there may take longer than expected, and room alone is no start yet.
-        late = max(constants.PREEMPT_WAIT_S, constants.SLACK_TRUST * self.queues.slack(job))
+        late = max(constants.PREEMPT_WAIT_S, self.queues.slack(job))
         work = constants.PREEMPT_RATIO * spec.vcpus * self.queues.run_s(job)
         for wait in chosen:
             if wait > late and not self._make_room(job, zones, False, work):
