--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -117,12 +117,13 @@
         grants = allocate(list(demands.values()), capacity)
         hard = [(queue, grant) for queue, grant in grants if demands[queue].kind is Kind.HARD]
         for _, group in itertools.groupby(hard, key=lambda entry: demands[entry[0]].urgency):
-            # What bounds need goes anywhere, but first where its image is.
+            # What bounds need, shortest remaining first: in an overload, parts of all
+            # bursts would end none of them in time. Anywhere, but first near its image.
             alike = list(group)
             for local in (True, False):
                 for queue, grant in alike:
                     budget = minus(grant, self.held[queue])
-                    placed += self._place_all(ready[queue], budget, not local, local, True)[0]
+                    placed += self._place_all(ready[queue], budget, not local, local)[0]
         for queue, grant in grants:
             if demands[queue].kind is not Kind.HARD:
                 budget = minus(grant, self.held[queue])
@@ -353,11 +354,10 @@
         budget: Vector | None,
         reserve: bool,
         local: bool = False,
-        needed: bool = False,
     ) -> tuple[int, Vector | None]:
         """Place waiting tasks in order within a budget; how many, and what is left of it.
 
-        `local`: only where the image is; `needed`: only what the job's next bound needs.
+        `local`: only where the image is.
         """
         placed = 0
         for job in jobs:
@@ -378,10 +378,7 @@
                 continue
             picker: Picker | None = None
             skip = self.strange.get(job.name, set())
-            most = constants.ROUND_TASKS
-            if needed:
-                most = min(most, self._needed(job) - len(job.live))
-            for _ in range(most):
+            for _ in range(constants.ROUND_TASKS):
                 index = job.waiting.first(skip)
                 if index is None:
                     break  # all placed, or present somewhere without our doing: wait for that
