--- a/src/chalkgrade/book.py
+++ b/src/chalkgrade/book.py
@@ -149,6 +149,8 @@
         self.batches: dict[str, Batch] = {}
         self.batch_number = 0
         self.admissions: dict[str, Admission] = {}
+        self.ending: dict[Job, None] = {}  # jobs that are over, until that is durable
+        self.aborting: list[Job] = []  # in the order in which their users asked
 
     # -- reading ------------------------------------------------------------------
 
@@ -158,6 +160,8 @@
         Nobody else can change it: older leaders are fenced.
         """
         self.jobs.clear()
+        self.aborting.clear()
+        self.ending.clear()
         self.log = OpLog(self.settings.cluster.state.value_kb)
         row = await self.ledger.get(SHARES_KEY)
         if row is not None:
@@ -204,6 +208,8 @@
         pages = [page for job in self.jobs.values() for page in job.pages.values()]
         self.log.lsn = max([self.log.lsn, *(page.upto for page in pages)])
         self.log.forget(set())
+        for job in self.jobs.values():
+            self.progressed(job)
         self.flush_wanted.set()
         return [attempt for job in self.jobs.values() for attempt in job.live.values()]
 
@@ -219,6 +225,7 @@
             job.stamp = max(job.stamp, stamp)
             job.batch = job.batch or batch
             job.aborted = job.aborted or value.aborted
+            self.progressed(job)
             return
         job = self.jobs[name] = Job(value, stamp, self.log, batch)
         if observe:
@@ -275,6 +282,19 @@
             raise NoAnswer("not durable in time")
         return admission.result.result()
 
+    def abort(self, job: Job) -> None:
+        """Have a job's abort written; nothing of it is started from now on."""
+        if not (job.aborted or job.aborting or job.complete):
+            job.aborting = True
+            self.aborting.append(job)
+        self.flush_wanted.set()
+
+    def progressed(self, job: Job) -> None:
+        """An attempt of it ended, or it was aborted: it may be over."""
+        if job.over:
+            self.ending[job] = None
+        self.flush_wanted.set()
+
     def _admitting(self) -> Change | None:
         """The next submissions, as many as one batch and one commit can take."""
         state = self.settings.cluster.state
@@ -322,22 +342,27 @@
             # Attempts and outcomes of all jobs: machines wait for the first, room for the second.
             write = Write(flush.segment.key, flush.segment.stamp, flush.value)
             yield Change(partial(self.log.saved, flush), [write])
+        # A user who aborts wants it stopped now, whatever else is to be written.
+        for job in self.aborting:
+            if not job.over:
+                yield self._abort(job)
         admitting = self._admitting()
         if admitting is not None:
             yield admitting
-        for job in self.jobs.values():
-            if job.over:
+        for job in list(self.ending):
+            if job.over and job.name in self.jobs:
                 yield self._end(job)
-            elif job.aborting:
-                yield self._abort(job)
+            else:
+                del self.ending[job]
         if flush is None or flush.count == len(self.log.pending):
             # Memory is now just what the log says, so that pages can stand for it.
             lsn = self.log.lsn if flush is None else flush.lsn
             for name, number in list(dict.fromkeys(self.log.stale())):
                 if self.jobs[name].over:
                     continue  # its end makes the page needless
-                page = self.jobs[name].pages[number]
-                write = Write(page.key, page.stamp, _raw(page.value(lsn)))
+                job = self.jobs[name]
+                page = job.pages[number]
+                write = Write(page.key, page.stamp, _raw(job.checkpoint(number, lsn)))
                 yield Change(partial(self._page_saved, page, (name, number), lsn), [write])
         if self.queues.dirty:
             write = Write(SHARES_KEY, self.queues.stamp, _raw(self.queues.shares))
@@ -358,16 +383,20 @@
         conditions = 4 * state.txn_ops - most - 1
         out: list[Change] = []
         edits: dict[Batch, dict[str, bytes | None]] = {}
+        missed = 0
         for change in self._wanted():
             new = change.batch is not None and change.batch not in edits
-            most -= len(change.writes) + new
-            conditions -= len(change.absent)
-            room -= sum(write.size for write in change.writes)
-            room -= sum(len(value or b"") + 80 for value in change.edits.values())
+            writes = len(change.writes) + new
+            size = sum(write.size for write in change.writes)
+            size += sum(len(value or b"") + 80 for value in change.edits.values())
             if new and change.batch is not None:
-                room -= change.batch.size + 120
-            if most < 0 or (out and (room < 0 or conditions < 0)):
-                break
+                size += change.batch.size + 120
+            if writes > most or (out and (size > room or len(change.absent) > conditions)):
+                missed += 1
+                if missed > constants.MISSES:
+                    break
+                continue  # something smaller behind it may fit
+            most, room, conditions = most - writes, room - size, conditions - len(change.absent)
             out.append(change)
             if change.batch is not None:
                 edits.setdefault(change.batch, {}).update(change.edits)
@@ -380,6 +409,9 @@
 
         def ended(revision: int) -> None:
             self.jobs.pop(job.name, None)
+            self.ending.pop(job, None)
+            if job in self.aborting:
+                self.aborting.remove(job)  # it was done before the abort was written
             self.over[job.name] = None
             self.remember(job.name, status, job.done)
             self.orphans += [page.key for page in job.pages.values() if page.stamp]
@@ -400,8 +432,10 @@
 
         def aborted(revision: int) -> None:
             job.aborted, job.aborting = True, False
+            self.aborting.remove(job)
             if job.batch is None:
                 job.stamp = revision
+            self.progressed(job)
             for attempt in job.live.values():
                 attempt.kill_at = attempt.kill_at or self.clock.now()
             log.info("job %s: aborted with %d live attempts", job.name, len(job.live))
@@ -471,7 +505,7 @@
                 unsure = True
                 await asyncio.sleep(constants.STATE_PAUSE_S)
             except Conflict as conflict:
-                if self._known_before(changes, conflict.failed):
+                if await self._known_before(changes, conflict.failed):
                     return 0
                 if not unsure or LEADER_KEY in conflict.failed:
                     log.warning("%s; stepping down", conflict)
@@ -486,11 +520,12 @@
                 self.leadership.depose()
                 await asyncio.Event().wait()
 
-    def _known_before(self, changes: list[Change], failed: list[str]) -> bool:
-        """Whether a commit failed only for jobs accepted elsewhere; they are taken out of it.
+    async def _known_before(self, changes: list[Change], failed: list[str]) -> bool:
+        """Whether a commit failed only for jobs that other nodes accepted too; it is made anew.
 
-        No copy of it can be applied later either: their keys stay, or turn into
-        final ones.
+        Submissions among them are taken out: they are known. A job that is over
+        and turns out to have a second record ends with both. No copy of the
+        commit can be applied later either: the keys stay, or turn into final ones.
         """
         guards = {
             prefix + admission.value.spec.nameId: admission
@@ -498,10 +533,19 @@
             for admission in change.admits
             for prefix in (JOB_PREFIX, END_PREFIX)
         }
-        if not failed or not all(key in guards for key in failed):
+        doubles = {key for change in changes for key in change.absent} - guards.keys()
+        if not failed or not all(key in guards or key in doubles for key in failed):
             return False
         for key in failed:
-            self._settle(guards[key], False)
+            if key in guards:
+                self._settle(guards[key], False)
+                continue
+            try:
+                row = await self.ledger.get(key)
+            except (NoAnswer, NotExecuted):
+                continue  # met again by the next commit
+            if row is not None:
+                self.add(msgspec.json.decode(row.v, type=JobValue), row.stamp, observe=False)
         return True
 
     async def _applied_at(self, writes: list[Write]) -> int:
--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -32,13 +32,16 @@
 # The rest is split among the other controllers, so that all parts sum to the limit.
 LEADER_WRITE_SHARE: Final = 0.7  # share of write_rps for the leader: all progress goes through it
 LEADER_REQUEST_SHARE: Final = 0.5  # share of rps for the leader; others serve users and watch
+ASKING_SHARE: Final = 0.5  # of a node's requests, for reads on behalf of users' questions
 COALESCE_S: Final = 0.03  # s; wait after the first dirty record, so one commit carries many
 WATCH_BLOCK_S: Final = 20.0  # s; long watches keep the request budget free
+FINALS_PAUSE_S: Final = 0.5  # s; between two looks for final states, so many ends share one
 WATCH_SLACK_S: Final = 5.0  # s; beyond the block time before a watch counts as lost
 LIST_PAGE: Final = 200  # rows; 200 pages of task records stay far below 512 KiB... per reply
 PAGE_TASKS: Final = 200  # tasks in one checkpoint; 200 live attempts take 7 KB of JSON
 LEAST_VALUE_KB: Final = 7.5  # KiB; a checkpoint of PAGE_TASKS tasks must fit a value
 LEAST_WRITE_RPS: Final = 3  # changes/s; the end of a job is three, written together
+MISSES: Final = 40  # changes that do not fit a commit, before the rest is left for the next one
 VALUE_SPARE_B: Final = 512  # bytes; kept free below the limits of values and commits
 COMMIT_MAX_B: Final = 64 * 1024  # bytes; a whole commit, from the protocol
 SEGMENT_PART: Final = 0.5  # of a value; a fuller segment is not added to: rewriting costs bytes
@@ -52,8 +55,10 @@
 SILENT_SLACK_S: Final = 0.5  # s; on top of that, for the way
 WORKER_MARGIN_S: Final = 2.0  # s; beyond lease_s before a silent machine's tasks count as dead
 SILENT_RELEASE_LEASES: Final = 2.5  # times lease_s; a machine silent this long is replaced
+FAULTY_MACHINES: Final = 2  # machines a job failed on, with no success, before it is held
+FAILED_KEPT: Final = 3  # of them written with a page: enough for the next leader's verdict
 SUSPECT_FAILURES: Final = 2  # failures in a row on one machine before it is replaced
-JOB_BACKOFF_S: Final = 2.0  # s; first pause of a job after a failed task, doubles per failure
+JOB_BACKOFF_S: Final = 2.0  # s; first pause of a faulty job, doubles with each failed probe
 JOB_BACKOFF_MAX_S: Final = 60.0  # s; longest such pause: a broken job must not spin
 KILL_GRACE_S: Final = 10.0  # s; time a stopped task with checkpoints may save
 
@@ -78,6 +83,7 @@
 STAY_TURNS: Final = 3.0  # times the CPUs a job needs, that come free where its image is in time
 SOON_STEP_S: Final = 2.5  # s; machines that report within one step are as good as each other
 FETCH_PATIENCE_S: Final = 12.0  # s; a second image is fetched beside another only if faster
+RETURN_PART: Final = 0.1  # of the machines, on which guests' work is stopped in one round
 RESERVE_PART: Final = 0.25  # of the machines, that waiting granted work may keep for itself
 # 10 measured 0.714 over three days with three seeds of ulan-archive, 20 measured 0.694.
 PATIENCE_S: Final = 10.0  # s; no task should wait longer for a machine that could be rented
@@ -85,6 +91,9 @@
 STAY_S: Final = 180.0  # s; about how long a machine serves, to spread the price of its boot
 DEAR_WAIT_S: Final = 60.0  # s; work that would wait longer may use dearer pools
 OVERDUE_PART: Final = 0.3  # of what an overdue task has run: how long it is expected to go on
+GUEST_PATIENCE_S: Final = 30.0  # s; guests' work may wait longer before it is rented for
+PLAN_GAP_S: Final = 0.4  # s; between two plans of what to rent
+PLAN_REST: Final = 5.0  # times what a plan took: at least so long until the next one
 PLAN_STEP_S: Final = 0.5  # s; CPUs that come free within such a step are planned as one
 
 # --- peers and intake --------------------------------------------------------
@@ -99,3 +108,10 @@
 RETRY_AFTER_S: Final = 1  # s; what a user is told when nothing can be decided
 STATE_STALE_S: Final = 2.5  # s; without a state answer before /up asks the peers
 RELAY_WINDOW_S: Final = 20.0  # s; a worker back within this after a redirect is relayed
+RELAY_S: Final = 40.0  # s; so long relayed, a worker tries the leader itself again
+# The longest hold of a relayed report, RELAY_HOLD_S and two ANSWER_HOLD_S, stays below this,
+# and this below the 4 s after which workers give up.
+RELAY_TIMEOUT_S: Final = 3.4  # s; a relayed report's answer
+RELAY_HOLD_S: Final = 1.2  # s; an idle machine's relayed report is held for this long
+BOUNCES: Final = 3  # workers that came back from the leader, before all are relayed at once
+BOUNCE_S: Final = 6.0  # s; within which they came back
--- a/src/chalkgrade/controller.py
+++ b/src/chalkgrade/controller.py
@@ -73,6 +73,7 @@
         self.round_done = Signal()
         self.preempted_at = -1e9
         self.told_at = -1e9
+        self.least_waiting = float("inf")  # CPUs of the smallest task that waited lately
         self.tasks: list[asyncio.Task[None]] = []
         self.counts: dict[str, int] = defaultdict(int)
 
@@ -128,6 +129,7 @@
         self.round_wanted.set()
 
     def _job_came(self) -> None:
+        self.least_waiting = 0.0  # until the next round knows
         self.round_wanted.set()
         self.renter.wanted.set()
 
@@ -158,9 +160,7 @@
         job = self.jobs.get(name)
         if job is None:
             return None
-        if not job.aborted and not job.complete:
-            job.aborting = True
-        self.book.flush_wanted.set()
+        self.book.abort(job)
         deadline = self.clock.now() + constants.INTAKE_DEADLINE_S
         while self.live():
             if job.aborted:
@@ -173,8 +173,8 @@
 
     # -- workers ------------------------------------------------------------------
 
-    async def hello(self, report: Report) -> tuple[int, dict[str, Any]]:
-        """Answer one report."""
+    async def hello(self, report: Report, relayed: bool = False) -> tuple[int, dict[str, Any]]:
+        """Answer one report; one that another controller carries is held for less long."""
         if report.baton > self.token:
             self.leadership.heard(report.baton)
             return 421, {}
@@ -188,7 +188,7 @@
             return 200, answer
         self._reconcile(machine)
         if self.live() and self.fleet.ours(machine):
-            await self._hold(machine)
+            await self._hold(machine, constants.RELAY_HOLD_S if relayed else constants.IDLE_HOLD_S)
         if not self.leadership.sheltering() or self.leadership.token != self.token:
             return 421, {}
         current = (machine.tenure, machine.seq) == (report.tenure, report.seq)
@@ -201,7 +201,7 @@
         )
         return 200, answer
 
-    async def _hold(self, machine: Machine) -> None:
+    async def _hold(self, machine: Machine, idle_s: float) -> None:
         """Wait shortly for a round and its commit, so that launches go with this answer.
 
         A machine with nothing to do is held for longer: it has nothing to tell,
@@ -214,7 +214,7 @@
                 self.round_wanted.set()
                 await self.round_done.wait(deadline - self.clock.now())
             if not machine.attempts and not machine.tasks and self.fleet.usable(machine):
-                await machine.given.wait(constants.IDLE_HOLD_S)
+                await machine.given.wait(idle_s)
                 deadline = self.clock.now() + constants.ANSWER_HOLD_S
             while self.live() and not all(a.durable for a in machine.attempts.values()):
                 if not await self.book.committed.wait(deadline - self.clock.now()):
@@ -227,10 +227,7 @@
         flavor = self.flavors.get(machine.hosttype)
         if flavor is None or not self.fleet.usable(machine):
             return False
-        return any(
-            len(job.waiting) and machine.used[0] + job.spec.vcpus <= flavor.vcpus + 1e-9
-            for job in self.jobs.values()
-        )
+        return machine.used[0] + self.least_waiting <= flavor.vcpus + 1e-9
 
     def _forgettable(self, machine: Machine) -> list[tuple[str, int]]:
         """Ended tasks whose outcome is durable."""
@@ -285,30 +282,36 @@
     def _outcome(self, machine: Machine, attempt: Attempt, cause: str) -> None:
         job, now = attempt.job, self.clock.now()
         self.counts[cause] += 1
+        failed = cause in ("error", "unknown")
+        self._finish(machine, attempt, cause == "done", failed)
         if cause == "done":
-            machine.failures = 0
-            job.failures = 0
+            machine.failed.clear()
             if attempt.since:
                 self.queues.observe_run(job, now - attempt.since)
-        elif cause in ("error", "unknown"):
-            job.failures += 1
-            job.failed_on[machine.name] = job.failed_on.get(machine.name, 0) + 1
-            pause = constants.JOB_BACKOFF_S * 2 ** min(8, len(job.failed_on) - 1)
-            if len(job.failed_on) > 1 or cause == "unknown":
-                # It fails on several machines: the job is at fault, and must not spin.
+        elif failed:
+            if cause == "error":
+                machine.failed[job] = machine.failed.get(job, 0) + 1
+            if job.faulty or cause == "unknown":
+                # Tasks that were under way fail at once, as one; probes fail one by one.
+                pause = constants.JOB_BACKOFF_S * 2 ** min(8, job.probes if not job.live else 0)
                 job.not_before = now + min(constants.JOB_BACKOFF_MAX_S, pause)
-            if len(job.failed_on) <= 2 and cause == "error":
-                machine.failures += 1
-            log.info("%s failed on %s: %s", attempt.name, machine.name, cause)
+            log.info(
+                "%s failed on %s: %s%s",
+                attempt.name,
+                machine.name,
+                cause,
+                ", the job is held for faulty" if job.faulty else "",
+            )
         elif cause == "no_room":
             machine.reported_at = None  # our picture of it is wrong: wait for the next report
-        self._finish(machine, attempt, cause == "done")
 
-    def _finish(self, machine: Machine | None, attempt: Attempt, done: bool) -> None:
-        attempt.job.finish(attempt, done)
+    def _finish(
+        self, machine: Machine | None, attempt: Attempt, done: bool, failed: bool = False
+    ) -> None:
+        attempt.job.finish(attempt, done, failed)
         if machine is not None:
             machine.detach(attempt)
-        self.book.flush_wanted.set()
+        self.book.progressed(attempt.job)
         self.round_wanted.set()
 
     def _sweep(self) -> None:
@@ -339,6 +342,9 @@
             if self.live():
                 self._sweep()
                 self._round(began)
+                waiting = (job.spec.vcpus for job in self.jobs.values() if len(job.waiting))
+                # Each report asks for it: once a round, not once a report and job.
+                self.least_waiting = min(waiting, default=float("inf"))
                 if self.book.log.pending or self.queues.dirty:
                     self.book.flush_wanted.set()
             self.round_done.fire()
--- a/src/chalkgrade/fleet.py
+++ b/src/chalkgrade/fleet.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from chalkgrade import constants
-from chalkgrade.jobs import Attempt
+from chalkgrade.jobs import Attempt, Job
 from chalkgrade.outside import Clock, Signal
 from chalkgrade.shares import Vector, minus, plus
 
@@ -96,7 +96,7 @@
         self.born = now  # about when it was rented
         self.images: dict[str, float] = {}  # image -> when it was last used
         self.image_gb: dict[str, float] = {}
-        self.failures = 0  # failed attempts since the last success
+        self.failed: dict[Job, int] = {}  # failed attempts by job, since the last success
         self.releasing = False
         self.busy_at = now  # when it last had work
 
@@ -113,6 +113,20 @@
             left = minus(self.used, attempt.job.spec.room)
             self.used = left if self.attempts else NOTHING
 
+    @property
+    def failures(self) -> int:
+        """The failures that are the machine's own fault, as far as is known now.
+
+        A job of which something was completed is sound: what fails of it counts
+        in full. One that failed on other machines as well and never succeeded is
+        faulty itself, and no machine is blamed for it, however many of its tasks
+        it had. A single job that failed only here leaves both open.
+        """
+        return sum(
+            count if job.proven else 0 if len(job.failed_on) >= constants.FAULTY_MACHINES else 1
+            for job, count in self.failed.items()
+        )
+
     def strangers(self) -> list[TaskReport]:
         """Reported tasks that are not over and that the book does not put here."""
         if self.tasks.keys() <= self.attempts.keys():
--- a/src/chalkgrade/intake.py
+++ b/src/chalkgrade/intake.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -21,17 +22,14 @@
     END_PREFIX,
     ID_FORM,
     JOB_PREFIX,
-    TASK_PREFIX,
-    BatchValue,
     EndValue,
     Invalid,
     JobSpec,
     JobValue,
-    PageValue,
     parse_submission,
 )
-from chalkgrade.leadership import Leadership
-from chalkgrade.ledger import Conflict, Ledger, NotExecuted, Rejected
+from chalkgrade.leadership import LEADER_KEY, Leadership
+from chalkgrade.ledger import Compacted, Conflict, Ledger, NotExecuted, Rejected
 from chalkgrade.outside import Clock, NoAnswer, Peers
 from chalkgrade.placement import allowed
 from chalkgrade.rentals import per_machine
@@ -51,6 +49,21 @@
     body: dict[str, Any] = {}
 
 
+class _Name(msgspec.Struct):
+    nameId: str
+
+
+class _Mark(msgspec.Struct):
+    """As much of a job's record as a query needs."""
+
+    spec: _Name
+    aborted: bool = False
+
+
+class _Marks(msgspec.Struct):
+    jobs: list[_Mark]
+
+
 class Intake:
     """The users' interface of one node."""
 
@@ -62,12 +75,19 @@
         peers: Peers,
         clock: Clock,
         flavors: dict[str, Flavor],
+        heard_at: Callable[[str], float],
     ) -> None:
         self.settings = settings
         self.ledger = ledger
         self.leadership = leadership
         self.peers = peers
         self.clock = clock
+        self.heard_at = heard_at  # when a controller last gave a sign of life
+        self.failed_at: dict[str, float] = {}  # when a question to a controller last failed
+        # What the leader last said of a job: its counts, should it fall silent.
+        self.counts: OrderedDict[str, dict[str, Any]] = OrderedDict()
+        self.reading: asyncio.Task[dict[str, bool]] | None = None
+        self.next_reading: asyncio.Task[dict[str, bool]] | None = None
         self.flavors = flavors
         self.term: Term | None = None
         self.teams = {team.name: team for team in settings.cluster.teams}
@@ -79,8 +99,30 @@
         self.finals[name] = answer
         while len(self.finals) > constants.FINAL_CACHE:
             self.finals.popitem(last=False)
+        self.counts.pop(name, None)
         return answer
 
+    async def watch(self) -> None:
+        """Learn of final states as they come to be, so that repeated questions cost nothing."""
+        revision = 0
+        while True:
+            try:
+                if not revision:
+                    revision = await self.ledger.revision(LEADER_KEY)
+                changes = await self.ledger.changes(END_PREFIX, revision, constants.WATCH_BLOCK_S)
+            except Compacted:
+                revision = 0
+            except (NoAnswer, NotExecuted, Rejected) as error:
+                log.debug("watch of final states: %s", error)
+            else:
+                for change in changes.log:
+                    if change.write is not None:
+                        end = msgspec.json.decode(change.v, type=EndValue)
+                        name = change.write.removeprefix(END_PREFIX)
+                        self.remember(name, end.status, end.tasks)
+                revision = max(revision, changes.ledgerRev)
+            await asyncio.sleep(constants.FINALS_PAUSE_S)
+
     # -- submissions --------------------------------------------------------------
 
     def refusal(self, spec: JobSpec) -> str | None:
@@ -183,7 +225,7 @@
                 await asyncio.sleep(0.1)
             else:
                 # The leader may hold it in a batch, aborted even: say what is true of it.
-                status, known = await self._read(name)
+                status, known = await self._read(name, led=False)
                 return (201, known) if status == 200 else LATER
         return LATER
 
@@ -199,10 +241,16 @@
         answer = await self._from_leader("status", name, constants.PEER_TIMEOUT_S / 2)
         if answer[0] == 200:
             return answer
+        return await self._look_up(name, led=answer[0] == 404)
+
+    async def _look_up(self, name: str, led: bool) -> Answer:
+        """What the state service says of a job; `led`: the leader has just not known it."""
+        if not self.ledger.may_ask():
+            return LATER
         try:
             async with asyncio.timeout(constants.QUERY_DEADLINE_S):
-                return await self._read(name)
-        except (TimeoutError, NoAnswer, NotExecuted, msgspec.DecodeError):
+                return await self._read(name, led)
+        except (TimeoutError, NoAnswer, NotExecuted, Rejected, msgspec.DecodeError):
             return LATER
 
     async def _from_leader(self, what: str, name: str, timeout: float) -> Answer:
@@ -210,13 +258,28 @@
         if self.term is not None and self.term.live():
             return await self.lead(what, name)
         leader = self.leadership.leader
-        if leader is None or leader == self.settings.member:
+        if leader is None or leader == self.settings.member or not self.answers(leader):
             return LATER
         answer = await self._ask(leader, what, name, timeout)
         if answer[0] == 200 and answer[1].get("status") in ("done", "withdrawn"):
             self.remember(name, answer[1]["status"], answer[1].get("done", 0))
+        elif answer[0] == 200 and what == "status":
+            self.counts[name] = answer[1]
+            self.counts.move_to_end(name)
+            while len(self.counts) > constants.FINAL_CACHE:
+                self.counts.popitem(last=False)
         return answer
 
+    def answers(self, member: str) -> bool:
+        """Whether a controller is worth a question.
+
+        One that has not answered the last one, and has given no sign since,
+        would cost each user a whole time-out.
+        """
+        heard = self.heard_at(member)
+        fresh = self.clock.now() - heard < constants.PEER_FRESH_S
+        return fresh and heard >= self.failed_at.get(member, -1e9)
+
     async def lead(self, what: str, name: str) -> Answer:
         """Answer as the leader, from the book."""
         known = self.finals.get(name)
@@ -234,33 +297,62 @@
         except Unavailable:
             return LATER
 
-    async def _read(self, name: str) -> Answer:
+    async def _read(self, name: str, led: bool) -> Answer:
         """A fresh read: the end last, since what is looked at before turns into it atomically.
 
-        A job can have two records: a repeated submission that could not reach the
-        leader makes a second one. Either may say that the job was aborted.
+        The leader alone writes batches, so that what it did not know is in none
+        that was there before it was asked. Without it, all records are read, once
+        for all who ask meanwhile. A job can have two records: a repeated
+        submission that could not reach the leader makes a second one. Either may
+        say that the job was aborted.
         """
-        row = await self.ledger.get(JOB_PREFIX + name)
-        values = [] if row is None else [msgspec.json.decode(row.v, type=JobValue)]
-        rows, _ = await self.ledger.scan(BATCH_PREFIX)
-        batches = [msgspec.json.decode(row.v, type=BatchValue).jobs for row in rows]
-        values += [job for jobs in batches for job in jobs if job.spec.nameId == name]
-        row = await self.ledger.get(END_PREFIX + name)
-        if row is not None:
+        if not led:
+            aborted = (await self._fresh()).get(name)
+            if aborted is not None:
+                return 200, self._live_answer(name, aborted)
+        found = await self.ledger.present([JOB_PREFIX + name, END_PREFIX + name])
+        if END_PREFIX + name in found:
+            row = await self.ledger.get(END_PREFIX + name)
+            if row is None:
+                return LATER
             end = msgspec.json.decode(row.v, type=EndValue)
             return 200, self.remember(name, end.status, end.tasks)
-        if not values:
+        if not found:
             return UNKNOWN
-        if any(value.aborted for value in values):
-            return 200, self.remember(name, "withdrawn", 0)
-        rows, _ = await self.ledger.scan(f"{TASK_PREFIX}{name}/")
-        done = running = 0
-        for row in rows:
-            page = msgspec.json.decode(row.v, type=PageValue)
-            done += sum(high - low + 1 for low, high in page.d)
-            running += len(page.l)
-        status = "running" if running else "pending"
-        return 200, {"nameId": name, "status": status, "done": done, "running": running}
+        row = await self.ledger.get(JOB_PREFIX + name)
+        if row is None:
+            return LATER  # over since a moment ago: the next read finds its end
+        return 200, self._live_answer(name, msgspec.json.decode(row.v, type=_Mark).aborted)
+
+    def _live_answer(self, name: str, aborted: bool) -> dict[str, Any]:
+        if aborted:
+            return self.remember(name, "withdrawn", 0)
+        unknown = {"nameId": name, "status": "pending", "done": 0, "running": 0}
+        return self.counts.get(name, unknown)
+
+    async def _fresh(self) -> dict[str, bool]:
+        """All jobs that are not over and whether they are aborted, read after this call.
+
+        Everybody who asks while a read is under way shares the next one: in a
+        storm of questions without a leader, reads must not grow with it.
+        """
+        if self.next_reading is None:
+            self.next_reading = asyncio.create_task(self._scan(self.reading))
+        return await asyncio.shield(self.next_reading)
+
+    async def _scan(self, before: "asyncio.Task[dict[str, bool]] | None") -> dict[str, bool]:
+        if before is not None:
+            await asyncio.wait({before})
+        self.reading, self.next_reading = self.next_reading, None
+        marks: list[_Mark] = []
+        rows, _ = await self.ledger.scan(JOB_PREFIX)
+        marks += [msgspec.json.decode(row.v, type=_Mark) for row in rows]
+        rows, _ = await self.ledger.scan(BATCH_PREFIX)
+        marks += [mark for row in rows for mark in msgspec.json.decode(row.v, type=_Marks).jobs]
+        out: dict[str, bool] = {}
+        for mark in marks:
+            out[mark.spec.nameId] = out.get(mark.spec.nameId, False) or mark.aborted
+        return out
 
     async def abort(self, name: str) -> Answer:
         """POST /v2/runs/{id}/abort."""
@@ -272,11 +364,7 @@
         answer = await self._from_leader("abort", name, constants.INTAKE_DEADLINE_S)
         if answer[0] != 404:
             return answer
-        try:
-            async with asyncio.timeout(constants.QUERY_DEADLINE_S):
-                status, known = await self._read(name)
-        except (TimeoutError, NoAnswer, NotExecuted, msgspec.DecodeError):
-            return LATER
+        status, known = await self._look_up(name, led=True)
         if status == 200 and known["status"] not in ("done", "withdrawn"):
             return LATER  # accepted just now: the leader has yet to learn of it
         return status, known
@@ -287,5 +375,6 @@
             answer = msgspec.convert(reply, PeerAnswer)
         except (NoAnswer, msgspec.ValidationError) as error:
             log.debug("asking %s: %s", leader, error)
+            self.failed_at[leader] = self.clock.now()
             return LATER
         return answer.status, answer.body
--- a/src/chalkgrade/jobs.py
+++ b/src/chalkgrade/jobs.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from chalkgrade import constants
-from chalkgrade.oplog import DONE, OVER, Op, OpLog
+from chalkgrade.oplog import DONE, FAILED, OVER, Op, OpLog
 from chalkgrade.outside import encode
 
 BATCH_PREFIX = "cg/in/"
@@ -117,6 +117,7 @@
     d: list[tuple[int, int]] = []
     l: dict[int, tuple[int, str]] = {}  # noqa: E741 - one letter: it is stored per page
     u: int = 0
+    f: list[str] = []  # machines that its tasks failed on, while nothing of the job is done
 
 
 class Attempt:
@@ -169,12 +170,14 @@
         self.stamp = 0
         self.upto = 0  # the entry of the log up to which the durable record goes
 
-    def value(self, upto: int) -> PageValue:
+    def value(self, upto: int, failed: list[str]) -> PageValue:
+        """Its checkpoint; `failed`: machines that the job failed on."""
         return PageValue(
             self.next,
             _ranges(self.done),
             {index: (a.number, a.machine) for index, a in self.live.items()},
             upto,
+            failed,
         )
 
 
@@ -254,11 +257,10 @@
         self.waiting = Waiting(self.spec.tasks)
         self.done = 0
         self.live: dict[int, Attempt] = {}
-        self.failures = 0  # failed attempts in a row
-        self.failed_on: dict[str, int] = {}
+        self.failed_on: dict[str, int] = {}  # machine -> failed attempts there
+        self.probes = 0  # failed attempts since the job is held for faulty
         self.not_before = 0.0
         self.stays_until: float | None = None  # how long it keeps to machines with its image
-        self.first_run: float | None = None
 
     @property
     def name(self) -> str:
@@ -275,6 +277,8 @@
         """Take over a checkpoint."""
         page = self.page_of(number * constants.PAGE_TASKS)
         page.next, page.stamp, page.upto = value.n, stamp, value.u
+        for name in value.f:
+            self.failed_on.setdefault(name, 1)
         for low, high in value.d:
             for index in range(low, high + 1):
                 self._done(page, index)
@@ -295,9 +299,16 @@
                 continue
             attempt = page.live.get(index)
             if attempt is not None and attempt.number == number:
+                if what == FAILED:
+                    self.failed(attempt.index, attempt.machine)
                 self._over(page, attempt, what == DONE)
         return told
 
+    def checkpoint(self, number: int, upto: int) -> PageValue:
+        """A page as it is written; it stands for the log up to that entry."""
+        failed = [] if self.proven else sorted(self.failed_on)[: constants.FAILED_KEPT]
+        return self.pages[number].value(upto, failed)
+
     def _live(self, page: Page, attempt: Attempt) -> None:
         page.live[attempt.index] = self.live[attempt.index] = attempt
         self.waiting.remove(attempt.index)
@@ -329,15 +340,41 @@
         self._live(page, attempt)
         return attempt
 
-    def finish(self, attempt: Attempt, done: bool) -> None:
+    def finish(self, attempt: Attempt, done: bool, failed: bool = False) -> None:
         """An attempt is over (or surely gone); its task is done or waits again."""
         page = self.page_of(attempt.index)
         if page.live.get(attempt.index) is not attempt:
             return
         done = done and self.spec.shape != "service"
-        self.log.add(Op(self.name, attempt.index, attempt.number, DONE if done else OVER))
+        end = DONE if done else FAILED if failed else OVER
+        self.log.add(Op(self.name, attempt.index, attempt.number, end))
+        if failed:
+            self.failed(attempt.index, attempt.machine)
         self._over(page, attempt, done)
 
+    def failed(self, index: int, machine: str) -> None:
+        """An attempt at one of its tasks failed there."""
+        if self.faulty and not self.live.keys() - {index}:
+            self.probes += 1
+        self.failed_on[machine] = self.failed_on.get(machine, 0) + 1
+
+    @property
+    def proven(self) -> bool:
+        """Some task of it was completed: what fails is the machine's fault."""
+        return self.done > 0
+
+    @property
+    def faulty(self) -> bool:
+        """It failed on several machines and never succeeded: held for a mistake of its own."""
+        return not self.proven and len(self.failed_on) >= constants.FAULTY_MACHINES
+
+    @property
+    def startable(self) -> int:
+        """How many tasks may be started now: of a faulty job one at a time, as a probe."""
+        if not self.faulty:
+            return len(self.waiting)
+        return 0 if self.live else min(1, len(self.waiting))
+
     @property
     def complete(self) -> bool:
         return not self.aborted and self.spec.shape != "service" and self.done == self.spec.tasks
--- a/src/chalkgrade/ledger.py
+++ b/src/chalkgrade/ledger.py
@@ -84,9 +84,12 @@
         self._others = max(0, nodes - 1)
         self.requests = Bucket(clock, 1.0, 1.0)
         self.writes = Bucket(clock, 1.0, 1.0)
+        # What users' questions may take of `requests`: a storm of them must leave the
+        # lease, commits and watches their part.
+        self.asking = Bucket(clock, 1.0, 1.0)
         self.lead(False)
-        self.requests.fill()
-        self.writes.fill()
+        for bucket in (self.requests, self.writes, self.asking):
+            bucket.fill()
         self.answered_at = -1e9
         self.counts: dict[str, int] = {}
 
@@ -104,11 +107,16 @@
             share = part if leading else (1 - part) / max(1, self._others)
             share = share if self._others else 1.0
             bucket.resize(limit * share)
+        self.asking.resize(self.requests.rate * constants.ASKING_SHARE)
 
     def fresh(self) -> bool:
         """Whether the service answered lately."""
         return self._clock.now() - self.answered_at < constants.STATE_STALE_S
 
+    def may_ask(self) -> bool:
+        """Whether a user's question may read now: it is refused at once, never kept waiting."""
+        return self.asking.take()
+
     async def _call(
         self, method: str, path: str, body: Any = None, timeout: float = constants.STATE_TIMEOUT_S
     ) -> tuple[int, bytes]:
@@ -137,6 +145,13 @@
             raise NoAnswer(f"status {status}")
         return decode(data, Row)
 
+    async def revision(self, under: str) -> int:
+        """The present revision, by a read of hardly anything."""
+        status, data = await self._call("GET", f"/kv?under={under}&page=1")
+        if status != 200:
+            raise NoAnswer(f"status {status}")
+        return decode(data, Listing).ledgerRev
+
     async def scan(self, under: str) -> tuple[list[Row], int]:
         """All keys with a prefix, and a revision from before the first was read."""
         rows: list[Row] = []
@@ -164,7 +179,9 @@
         """All of `apply` or nothing; the revision, or Conflict, Rejected, NotExecuted, NoAnswer."""
         if apply:
             await self.writes.wait(len(apply))
-        body = {"if": [{"k": k, "stamp": s} for k, s in conditions.items()], "apply": apply}
+        body: dict[str, Any] = {"if": [{"k": k, "stamp": s} for k, s in conditions.items()]}
+        if apply:
+            body["apply"] = apply
         status, data = await self._call("POST", "/commit", body, timeout)
         if status == 200:
             return decode(data, Revision).ledgerRev
@@ -172,6 +189,24 @@
             raise Conflict(decode(data, Failure).failed)
         raise Rejected(data[:200].decode(errors="replace"))
 
+    async def present(self, keys: list[str]) -> set[str]:
+        """Which of a few keys are there, all seen at one revision if none is.
+
+        A transaction that only compares. Only what it names is taken as there:
+        the others are compared again, lest an answer that names the first
+        failure passes for the absence of the rest.
+        """
+        found: set[str] = set()
+        while len(found) < len(keys):
+            try:
+                await self.commit({key: 0 for key in keys if key not in found}, [])
+                break
+            except Conflict as conflict:
+                if not set(conflict.failed) - found:
+                    raise NoAnswer("a failed comparison that names no key") from None
+                found |= set(conflict.failed)
+        return found
+
     async def grant(self, ttl_s: float) -> int:
         """A new lease."""
         status, data = await self._call("POST", "/leases", {"ttlMs": int(ttl_s * 1000)})
--- a/src/chalkgrade/node.py
+++ b/src/chalkgrade/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from collections import deque
 from typing import Any
 
 import msgspec
@@ -50,15 +51,20 @@
         self.leadership = Leadership(
             self.ledger, clock, rng, settings.member, max(0.0, spare), self._lead, self._lose
         )
-        self.intake = Intake(settings, self.ledger, self.leadership, peers, clock, self.flavors)
-        self.term: Term | None = None
-        self.redirected: dict[str, float] = {}  # worker -> when we last sent it to the leader
         self.heard: dict[str, tuple[float, Ping]] = {}
+        self.intake = Intake(
+            settings, self.ledger, self.leadership, peers, clock, self.flavors, self._heard_at
+        )
+        self.term: Term | None = None
+        self.redirected: dict[str, float] = {}  # worker -> when we last dealt with it
+        self.relayed: dict[str, float] = {}  # worker -> since when its reports are carried on
+        self.bounced: deque[float] = deque()  # when workers came back from the leader
+        self.relays_to = ""  # the leader that these three are about
         self.counts: dict[str, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
-        loops = [self.leadership.run(), self._flavors_loop()]
+        loops = [self.leadership.run(), self._flavors_loop(), self.intake.watch()]
         loops += [self._ping_loop(peer.member) for peer in self.settings.others]
         self._tasks = [asyncio.create_task(loop) for loop in loops]
 
@@ -121,6 +127,9 @@
                 self.leadership.leader = ping.member
             self.leadership.heard(ping.token, ping.member)
 
+    def _heard_at(self, member: str) -> float:
+        return self.heard[member][0] if member in self.heard else -1e9
+
     async def _ping_loop(self, member: str) -> None:
         while True:
             try:
@@ -151,7 +160,8 @@
             elif what == "hello":
                 status, body = 421, {}
                 if self.term is not None and self.term.ready:
-                    status, body = await self.term.hello(msgspec.convert(arg, Report))
+                    report = msgspec.convert(arg, Report)
+                    status, body = await self.term.hello(report, relayed=True)
         except (msgspec.ValidationError, Invalid) as error:
             status, body = 400, {"error": str(error)}
         except (NoAnswer, NotExecuted):
@@ -175,8 +185,7 @@
         leader = self.leadership.leader
         if leader == self.settings.member:
             return self.leadership.acting()
-        at, _ = self.heard.get(leader or "", (-1e9, None))
-        return self.clock.now() - at < constants.PEER_FRESH_S
+        return self.clock.now() - self._heard_at(leader or "") < constants.PEER_FRESH_S
 
     async def handle(self, method: str, path: str, body: bytes) -> Answer:
         """One HTTP request of a user, a worker or the balancer."""
@@ -216,24 +225,47 @@
         return await self._redirect(report, body)
 
     async def _redirect(self, report: Report, body: bytes) -> Answer:
+        """Send a worker to the leader, or take its report there if it can't reach it itself.
+
+        A leader that workers can't hear keeps the lead: its lease and the other
+        controllers are what it needs, and they carry the reports.
+        """
         leader, now = self.leadership.leader, self.clock.now()
         if leader is None or leader == self.settings.member or not self._leader_near():
             return 421, {}
-        sent = self.redirected.get(report.host, -1e9)
-        if now - sent < constants.RELAY_WINDOW_S:
-            # It came back: it can't reach the leader, but we can.
+        if leader != self.relays_to:
+            # Who was sent to another leader and comes here now is no proof against this one.
+            self.relays_to = leader
+            self.redirected.clear()
+            self.relayed.clear()
+            self.bounced.clear()
+        since = self.redirected.get(report.host, -1e9)
+        came_back = now - since < constants.RELAY_WINDOW_S
+        if came_back and report.host not in self.relayed:
+            self.relayed[report.host] = now
+            self.bounced.append(now)
+        while self.bounced and now - self.bounced[0] > constants.BOUNCE_S:
+            self.bounced.popleft()
+        # Where several came back, the leader hears none of them: nobody else need find out.
+        deaf = len(self.bounced) >= constants.BOUNCES
+        begun = self.relayed.get(report.host, now)
+        if (came_back or deaf) and now - begun < constants.RELAY_S:
+            self.relayed[report.host] = begun
+            self.redirected[report.host] = now
             try:
                 message = {"q": "hello", "arg": msgspec.json.decode(body)}
-                reply = await self.peers.ask(leader, message, 2 * constants.PEER_TIMEOUT_S)
+                reply = await self.peers.ask(leader, message, constants.RELAY_TIMEOUT_S)
                 if reply.get("status") == 200:
-                    self.redirected[report.host] = now
                     return 200, reply.get("body") or {}
             except NoAnswer as error:
                 log.debug("relay to %s: %s", leader, error)
             return 421, {}
+        # Not seen lately, or relayed for so long that the way may be open again.
+        self.relayed.pop(report.host, None)
         self.redirected[report.host] = now
         if len(self.redirected) > 10_000:
             self.redirected = {
                 h: t for h, t in self.redirected.items() if now - t < constants.RELAY_WINDOW_S
             }
+            self.relayed = {h: t for h, t in self.relayed.items() if h in self.redirected}
         return 421, {"reportsTo": leader}
--- a/src/chalkgrade/oplog.py
+++ b/src/chalkgrade/oplog.py
@@ -22,13 +22,14 @@
 from chalkgrade.outside import encode
 
 LOG_PREFIX = "cg/log/"
-DONE, OVER = 1, 0  # what an attempt's end was: the task is done, or waits again
+# What an attempt's end was: the task is done, or waits again, in the last case since it failed.
+DONE, OVER, FAILED = 1, 0, 2
 
 PageName = tuple[str, int]  # job, number of the page
 
 
 class Op(NamedTuple):
-    """An attempt is decided (`what`: its machine) or over (`DONE`, `OVER`)."""
+    """An attempt is decided (`what`: its machine) or over (`DONE`, `OVER`, `FAILED`)."""
 
     job: str
     task: int
--- a/src/chalkgrade/placement.py
+++ b/src/chalkgrade/placement.py
@@ -132,10 +132,11 @@
 
 
 class Picker:
-    """The best machines for one job's tasks, one after the other.
+    """The best machines for tasks that are alike, one after the other.
 
-    The same choices as `choose` before each task: taking a slot changes only
-    that slot's rank, so the others are looked at once, not once a task.
+    The same choices as `choose` before each task. Slots are looked at once and
+    again only when they come to the top: within a round their room only
+    shrinks, and jobs that are alike share one ranking.
     """
 
     def __init__(
@@ -145,15 +146,13 @@
         avoid: Iterable[str] = (),
         local: bool = False,
     ) -> None:
-        self._spec = spec
+        self._spec, self._local = spec, local
         shunned = set(avoid)
         self._heap: list[tuple[tuple[float, ...], int, Slot]] = []
         # Slots come in few kinds: whether a job may use one is asked once a kind.
         may: dict[tuple[str, str, bool], bool] = {}
         for number, slot in enumerate(slots):
-            if not fits(spec.room, slot.room_for(spec.nameId)) or slot.name in shunned:
-                continue
-            if crowded(spec, slot) or (local and spec.pullGb and not slot.knows(spec.bundle)):
+            if not self._open(slot) or slot.name in shunned:
                 continue
             kind = (slot.hosttype, slot.site, slot.standby)
             if kind not in may:
@@ -162,21 +161,33 @@
                 self._heap.append((rank(spec, slot), number, slot))
         heapq.heapify(self._heap)
 
-    def take(self, zones: Callable[[], set[str]]) -> Slot | None:
-        """The best slot within the zones now open; its room is taken."""
-        while self._heap:
-            _, number, slot = self._heap[0]
-            if slot.site not in zones():
-                # A zone never opens again while a job's tasks are placed.
+    def _open(self, slot: Slot) -> bool:
+        spec = self._spec
+        if not fits(spec.room, slot.free) or crowded(spec, slot):
+            return False
+        return not (self._local and spec.pullGb and not slot.knows(spec.bundle))
+
+    def take(self, job: str, zones: Callable[[], set[str]]) -> Slot | None:
+        """The best slot for a job within the zones now open; its room is taken."""
+        kept: list[tuple[tuple[float, ...], int, Slot]] = []
+        found: Slot | None = None
+        while self._heap and found is None:
+            held, number, slot = self._heap[0]
+            # A zone never opens again while a job's tasks are placed.
+            if not self._open(slot) or slot.site not in zones():
                 heapq.heappop(self._heap)
                 continue
-            occupy(slot, self._spec)
-            if fits(self._spec.room, slot.room_for(self._spec.nameId)):
-                heapq.heapreplace(self._heap, (rank(self._spec, slot), number, slot))
+            now = rank(self._spec, slot)
+            if now != held:
+                heapq.heapreplace(self._heap, (now, number, slot))
+            elif not fits(self._spec.room, slot.room_for(job)):
+                kept.append(heapq.heappop(self._heap))  # kept for another job, not for all
             else:
-                heapq.heappop(self._heap)
-            return slot
-        return None
+                occupy(slot, self._spec)
+                found = slot
+        for entry in kept:
+            heapq.heappush(self._heap, entry)
+        return found
 
 
 def rank(spec: JobSpec, slot: Slot) -> tuple[float, ...]:
@@ -249,9 +260,15 @@
     """
 
     def __init__(
-        self, spec: JobSpec, slots: Iterable[Slot], own: bool, excess: dict[str, Vector] | None
+        self,
+        spec: JobSpec,
+        slots: Iterable[Slot],
+        own: bool,
+        excess: dict[str, Vector] | None,
+        borrowed_only: bool = False,
     ) -> None:
         self._spec, self._own, self._excess = spec, own, excess
+        self._borrowed_only = borrowed_only
         self._heap: list[tuple[float, str, Slot]] = []
         for slot in slots:
             found = self._found(slot)
@@ -261,7 +278,7 @@
 
     def _found(self, slot: Slot) -> list[Occupant] | None:
         excess = None if self._excess is None else dict(self._excess)
-        return victims(self._spec, slot, self._own, excess)
+        return victims(self._spec, slot, self._own, excess, self._borrowed_only)
 
     def take(
         self, open_slot: Callable[[Slot], bool], most: float
@@ -288,7 +305,8 @@
             if lost > most:
                 kept.append(entry)
                 break
-            taken = slot, victims(self._spec, slot, self._own, self._excess) or []
+            found = victims(self._spec, slot, self._own, self._excess, self._borrowed_only)
+            taken = slot, found or []
         for entry in kept:
             heapq.heappush(self._heap, entry)
         return taken
@@ -299,7 +317,11 @@
 
 
 def victims(
-    spec: JobSpec, slot: Slot, own: bool, excess: dict[str, Vector] | None = None
+    spec: JobSpec,
+    slot: Slot,
+    own: bool,
+    excess: dict[str, Vector] | None = None,
+    borrowed_only: bool = False,
 ) -> list[Occupant] | None:
     """The tasks whose stop makes room at the least loss; None: not possible.
 
@@ -307,7 +329,8 @@
     teams run in excess of theirs (`excess`: how much); the protocol lets nothing
     else be stopped for a job.
     With `own`, only the job's own team makes room: it is at its maximum, and
-    room on the machine alone would not help.
+    room on the machine alone would not help. With `borrowed_only`, lower
+    priorities are left alone, too.
     """
     free: Vector = (0.0, 0.0, max(0.0, slot.free[2])) if own else slot.free
     for occupant in slot.occupants:
@@ -327,7 +350,7 @@
         )
         if borrowed and excess is not None and over is not None:
             excess[occupant.owner] = minus(over, occupant.room[:2])
-        if occupant.rank < spec.rank or borrowed:
+        if borrowed or (occupant.rank < spec.rank and not borrowed_only):
             free = plus(free, occupant.room)
             out.append(occupant)
     return out if fits(spec.room, free) else None
--- a/src/chalkgrade/queues.py
+++ b/src/chalkgrade/queues.py
@@ -45,6 +45,7 @@
         self.settings = settings
         self.flavors = flavors
         self.clock = clock
+        self._aimed = {aim.jobclass for aim in settings.cluster.objectives}
         self.shares = Shares()
         self.stamp = 0
         self.dirty = False
@@ -123,7 +124,22 @@
         remaining = 0.0
         if missed < len(bounds):
             remaining = (len(job.waiting) + len(job.live)) * run_s * max(job.spec.vcpus, 1e-3)
-        return -job.spec.rank, missed, remaining, job.at
+        return self.guest(job), -job.spec.rank, missed, remaining, job.at
+
+    def guest(self, job: Job) -> bool:
+        """Whether a job may have only what nobody else wants.
+
+        A team without a guarantee beside teams that have one; and, whatever its
+        team, work that nobody stated an aim for and that has no deadline, where
+        other classes have aims.
+        """
+        teams = self.settings.cluster.teams
+        if any(team.cpus or team.gpus for team in teams):
+            own = next((team for team in teams if team.name == job.spec.owner), None)
+            if own is not None and not (own.cpus or own.gpus):
+                return True
+        aims = self.settings.cluster.objectives
+        return bool(aims) and job.spec.dueS is None and job.spec.jobclass not in self._aimed
 
     def bounds(self, job: Job) -> list[float]:
         """The times from submission by which the users count a job as served."""
@@ -169,4 +185,4 @@
         if slack < 0 or slack == float("inf"):
             return 0
         waves = int(part * slack / self.run_s(job)) + 1
-        return math.ceil((len(job.waiting) + len(job.live)) / waves)
+        return math.ceil((job.startable + len(job.live)) / waves)
--- a/src/chalkgrade/rentals.py
+++ b/src/chalkgrade/rentals.py
@@ -107,7 +107,7 @@
 
 @dataclass
 class Need:
-    """A job's waiting tasks."""
+    """Waiting tasks of a job, or of several that are alike."""
 
     spec: JobSpec
     tasks: int
--- a/src/chalkgrade/renting.py
+++ b/src/chalkgrade/renting.py
@@ -12,7 +12,7 @@
 from chalkgrade import constants
 from chalkgrade.book import Book
 from chalkgrade.fleet import Fleet, Machine
-from chalkgrade.jobs import Attempt
+from chalkgrade.jobs import Attempt, JobSpec
 from chalkgrade.outside import Clock, NoAnswer
 from chalkgrade.rentals import Cloud, Have, Need, Pool, Refused, plan_rent
 from chalkgrade.rounds import left_s
@@ -20,6 +20,14 @@
 log = logging.getLogger("chalkgrade.renting")
 
 
+def _alike(one: JobSpec, other: JobSpec) -> bool:
+    """Whether the same machines serve both alike."""
+    return all(
+        getattr(one, name) == getattr(other, name)
+        for name in ("owner", "shape", "rank", "room", "hosttypes", "site", "standby", "tasks")
+    )
+
+
 class Renter:
     """The leader's dealings with the cloud."""
 
@@ -47,6 +55,8 @@
         self.hire_number = 0
         self.doomed: dict[str, None] = {}  # names to release
         self.began = clock.now()
+        self.planned_at = -1e9
+        self.plan_took = 0.0
 
     async def run(self) -> None:
         flavors_at = -1e9
@@ -67,11 +77,15 @@
             try:
                 async with asyncio.timeout(pause):
                     await self.wanted.wait()
-                # New work: machines take long enough to boot. The list can wait.
+            except TimeoutError:
+                continue
+            # New work: machines take long enough to boot. The list can wait. But many
+            # small jobs a second must not each cost a plan.
+            gap = max(constants.PLAN_GAP_S, constants.PLAN_REST * self.plan_took)
+            await asyncio.sleep(max(0.0, self.planned_at + gap - self.clock.now()))
+            try:
                 if self.live():
                     await self._rent()
-            except TimeoutError:
-                pass
             except NoAnswer as error:
                 log.info("cloud: %s", error)
 
@@ -168,7 +182,7 @@
 
     def _needs(self) -> list[Need]:
         """Waiting work in the order in which it would start, within the teams' maxima."""
-        out = []
+        out: list[Need] = []
         teams = self.settings.cluster.teams
         room = {team.name: team.cpus_max or float("inf") for team in teams}
         jobs = sorted(self.book.jobs.values(), key=self.queues.order)
@@ -176,17 +190,26 @@
             room[job.spec.owner] = room.get(job.spec.owner, 0.0) - job.spec.vcpus * len(job.live)
         for job in jobs:
             spec = job.spec
-            if job.aborted or job.aborting or not len(job.waiting):
+            tasks = job.startable  # a faulty job gets no more machines than it may use
+            if job.aborted or job.aborting or not tasks:
                 continue
-            tasks = len(job.waiting)
-            if job.failures and len(job.failed_on) > 1:
-                tasks = 1  # a job that fails everywhere deserves no fleet
             if spec.vcpus > 0 and room[spec.owner] < float("inf"):
                 tasks = min(tasks, int(max(0.0, room[spec.owner]) / spec.vcpus))
                 room[spec.owner] -= tasks * spec.vcpus
-            if tasks:
-                patience = min(constants.PATIENCE_S, max(0.0, self.queues.slack(job)))
-                out.append(Need(spec, tasks, self.queues.run_s(job), patience))
+            if not tasks:
+                continue
+            guest = self.queues.guest(job)
+            patience = constants.GUEST_PATIENCE_S if guest else constants.PATIENCE_S
+            patience = min(patience, max(0.0, self.queues.slack(job)))
+            run_s = self.queues.run_s(job)
+            last = out[-1] if out else None
+            if last is not None and last.spec.shape != "gang" and _alike(last.spec, spec):
+                # A thousand jobs of one task each are planned as one of a thousand.
+                last.run_s += (run_s - last.run_s) * tasks / (last.tasks + tasks)
+                last.tasks += tasks
+                last.patience_s = min(last.patience_s, patience)
+            else:
+                out.append(Need(spec, tasks, run_s, patience))
         return out
 
     async def _rent(self) -> None:
@@ -194,12 +217,14 @@
         while self.live():
             now = self.clock.now()
             shut = [pool for pool, until in self.blocked.items() if until > now]
+            self.planned_at = now
             needs = self._needs()
             if needs:
                 wanted = plan_rent(needs, self._have(now), self.flavors, [*shut, *self.hires])
                 for pool, count in wanted.items():
                     self.hire_number += 1
                     self.hires[pool] = (f"h{self.fleet.token}-{self.hire_number}", count)
+            self.plan_took = self.clock.now() - now
             if not self.hires:
                 return
             for pool, (hire, count) in list(self.hires.items()):
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -77,6 +77,7 @@
         self.held: dict[str, Vector] = defaultdict(lambda: ZERO)
         self.kept = 0  # machines that room is kept on
         self.guaranteed = False  # placing what a guarantee covers
+        self.returning = False  # making room for it only where guests are
         self.patient = True  # work may wait for machines that hold its image
         self.quota_rank: dict[str, int] = {}  # team at its maximum -> urgency it keeps room for
         self.slots: list[Slot] = []  # machines with room
@@ -84,6 +85,7 @@
         self._every: list[Slot] | None = None
         self._waits: dict[object, list[tuple[float, str, Slot]]] = {}
         self._offers: dict[object, Offers] = {}
+        self._pickers: dict[object, Picker] = {}
 
     # -- what there is ----------------------------------------------------------------
 
@@ -96,7 +98,7 @@
                 self.used[job.spec.owner] = plus(self.used[job.spec.owner], taken)
                 self.held[job.queue] = plus(self.held[job.queue], taken)
             if (
-                len(job.waiting)
+                job.startable
                 and not job.aborted
                 and not job.aborting
                 and self.now >= job.not_before
@@ -129,7 +131,8 @@
                 budget = minus(grant, self.held[queue])
                 placed += self._fill_near_first(ready[queue], budget, reserve=True)
         order = spare_order(demands.values(), lambda d: dominant(self.held[d.queue], capacity))
-        for urgency, names in itertools.groupby(order, key=lambda queue: demands[queue].urgency):
+        ranks = itertools.groupby(order, key=lambda q: (demands[q].guest, demands[q].urgency))
+        for (_, urgency), names in ranks:
             # Urgent work that is too late for its bounds would else never see two CPUs
             # of one machine free at once: the small tasks behind it take each of them.
             mates = [job for queue in names for job in ready[queue]]
@@ -246,7 +249,7 @@
                 # guaranteed, the very room that was made for urgent ones.
                 key=lambda j: (-j.spec.rank, j.at, j.name),
             ):
-                left = len(job.waiting) + len(job.live)
+                left = job.startable + len(job.live)
                 need: Vector = tuple(a * left for a in job.spec.room)
                 if not fits(need, room):
                     break
@@ -258,9 +261,42 @@
         chosen.sort(key=self.queues.order)
         self.guaranteed = True
         placed = self._fill_near_first(chosen, None, reserve=True)
+        self._return_borrowed(chosen)
         self.guaranteed = False
         return placed
 
+    def _return_borrowed(self, jobs: list[Job]) -> None:
+        """Guaranteed work behind what its next bound needs gets back what guests hold.
+
+        Guests fill what is idle, with tasks that may run longer than a deadline
+        of those whom the room is promised to.
+        """
+        behind: list[tuple[Job, int]] = []
+        for job in jobs:
+            if self.preempt and self.queues.clock.wall() - job.at > constants.PREEMPT_WAIT_S:
+                count = min(job.startable, self._needed(job) - len(job.live))
+                if count > 0 and not self.queues.guest(job):
+                    behind.append((job, count))
+        if not behind:
+            return
+        slots = self._all_slots()
+        mates = (mate for slot in slots for mate in slot.occupants)
+        # What was told to stop in earlier rounds is on its way.
+        coming = sum(mate.room[0] for mate in mates if mate.stopping)
+        most = max(1, int(constants.RETURN_PART * len(slots)))
+        self.returning = True
+        for job, count in behind:
+            vcpus = max(job.spec.vcpus, 1e-3)
+            there = min(count, int(coming / vcpus))
+            coming -= there * vcpus
+            work = constants.PREEMPT_RATIO * vcpus * self.queues.run_s(job)
+            zones = zones_open(job.spec, self._zones_held(job), self.zones)
+            for _ in range(count - there):
+                if most <= 0 or not self._make_room(job, zones, False, work):
+                    break
+                most -= 1
+        self.returning = False
+
     def _demands(self, ready: dict[str, list[Job]], capacity: Vector) -> dict[str, Demand]:
         queues = self.queues
         for jobs in ready.values():
@@ -273,14 +309,15 @@
         kinds = admit(declarations, admission_room, queues.settings.operator.nmin)
         demands: dict[str, Demand] = {}
         for queue, jobs in sorted(ready.items(), key=lambda q: -max(j.spec.rank for j in q[1])):
-            kind = kinds.get(queue, Kind.ELASTIC)
+            guest = queues.guest(jobs[0])
+            kind = Kind.ELASTIC if guest else kinds.get(queue, Kind.ELASTIC)
             record = queues.shares.queues[queue]
             if record.kind != kind.value:
                 record.kind = kind.value
                 queues.dirty = True
             wants, task, remaining = self.held[queue], ZERO, 0.0
             for job in jobs:
-                count = len(job.waiting)
+                count = job.startable
                 wants = plus(wants, tuple(a * count for a in job.spec.room))
                 task = tuple(max(a, b) for a, b in zip(task, job.spec.room, strict=True))
                 work = (count + len(job.live)) * queues.run_s(job)
@@ -301,6 +338,7 @@
                 tuple(max(a, b) for a, b in zip(rate, now, strict=True)),
                 remaining,
                 urgency=max(job.spec.rank for job in jobs),
+                guest=guest,
                 held=self.held[queue],
             )
         return demands
@@ -378,7 +416,7 @@
                 continue
             picker: Picker | None = None
             skip = self.strange.get(job.name, set())
-            for _ in range(constants.ROUND_TASKS):
+            for _ in range(min(job.startable, constants.ROUND_TASKS)):
                 index = job.waiting.first(skip)
                 if index is None:
                     break  # all placed, or present somewhere without our doing: wait for that
@@ -390,8 +428,8 @@
                 if spec.rank < self.quota_rank.get(spec.owner, spec.rank):
                     break  # what the maximum leaves is kept for more urgent work of the team
                 if picker is None:
-                    picker = Picker(spec, self.slots, self._shunned(job), near)
-                slot = picker.take(lambda: zones_open(spec, zone_of, self.zones))  # noqa: B023
+                    picker = self._picker(job, near)
+                slot = picker.take(job.name, lambda: zones_open(spec, zone_of, self.zones))  # noqa: B023
                 if slot is None:
                     if reserve:
                         self._reserve(job, zones_open(spec, zone_of, self.zones))
@@ -403,8 +441,26 @@
                 placed += 1
         return placed, budget
 
+    def _picker(self, job: Job, near: bool) -> Picker:
+        """The machines for a job's tasks: the same ranking for all jobs that are alike."""
+        spec, shunned = job.spec, self._shunned(job)
+        key = (
+            spec.room,
+            tuple(spec.hosttypes or ()),
+            spec.site,
+            spec.standby,
+            spec.bundle,
+            spec.pullGb,
+            near,
+        )
+        if shunned or spec.oneZone or spec.spread:
+            return Picker(spec, self.slots, shunned, near)
+        if key not in self._pickers:
+            self._pickers[key] = Picker(spec, self.slots, (), near)
+        return self._pickers[key]
+
     def _shunned(self, job: Job) -> Iterable[str]:
-        return job.failed_on if len(job.failed_on) < 3 else ()
+        return job.failed_on if len(job.failed_on) <= constants.FAULTY_MACHINES else ()
 
     def _place_gang(
         self,
@@ -416,7 +472,7 @@
     ) -> tuple[int, Vector]:
         """Place all that is missing of a gang, or nothing (step 7: its grant covers all of it)."""
         spec, count = job.spec, len(job.waiting)
-        if not count:
+        if not job.startable:
             return 0, ZERO  # placed by an earlier step of this round
         if job.live:
             # Part of it is over: the rest can't go on, and all start anew together.
@@ -481,7 +537,7 @@
             return  # nothing smaller waits: whatever frees up is as good for this job
         every = len(self.slots) + len(self.full)
         most = max(1, int(every * constants.RESERVE_PART)) - self.kept
-        most = min(len(job.waiting), most)
+        most = min(job.startable, most)
         chosen: list[float] = []
         for wait, _, slot in self._fitting(spec):
             if len(chosen) >= most:
@@ -553,11 +609,15 @@
             spec.owner,
             own,
             self.guaranteed,
+            self.returning,
         )
         if key not in self._offers:
             slots = [slot for _, _, slot in self._fitting(spec)]
             excess = self._excess() if self.guaranteed else None
-            self._offers[key] = Offers(spec, slots, own, excess)
+            if self.returning and excess is not None:
+                guests = {name for name, team in self.teams.items() if not (team.cpus or team.gpus)}
+                excess = {name: over for name, over in excess.items() if name in guests}
+            self._offers[key] = Offers(spec, slots, own, excess, self.returning)
 
         def is_open(slot: Slot) -> bool:
             return slot.kept_for in ("", job.name) and slot.site in zones and not slot.touched
--- a/src/chalkgrade/shares.py
+++ b/src/chalkgrade/shares.py
@@ -93,6 +93,7 @@
     remaining: float  # dominant work left in its burst, in amount-seconds
     weight: float = 1.0
     urgency: int = 0
+    guest: bool = False  # gets what nobody else wants
     held: Vector = field(default=())  # what its running work takes
 
 
@@ -166,15 +167,23 @@
     soft = [demand for demand in demands if demand.kind is Kind.SOFT]
     for demand in sorted(soft, key=lambda d: (-d.urgency, d.remaining, d.queue)):
         give(demand, demand.wants)
-    elastic = {
-        demand.queue: (demand.task, demand.wants, demand.weight)
-        for demand in demands
-        if demand.kind is Kind.ELASTIC
-    }
-    grants += drf(elastic, room, capacity).items()
+    for guest in (False, True):
+        elastic = {
+            demand.queue: (demand.task, demand.wants, demand.weight)
+            for demand in demands
+            if demand.kind is Kind.ELASTIC and demand.guest is guest
+        }
+        given = drf(elastic, room, capacity)
+        for amount in given.values():
+            room = minus(room, amount)
+        grants += given.items()
     return grants
 
 
 def spare_order(demands: Iterable[Demand], share: Callable[[Demand], float]) -> list[str]:
-    """Step 7: who may use idle granted room first: urgent work, then the least served."""
-    return [d.queue for d in sorted(demands, key=lambda d: (-d.urgency, share(d), d.queue))]
+    """Step 7: who may use idle granted room first: urgent work, then the least served.
+
+    Guests come after everybody else.
+    """
+    order = sorted(demands, key=lambda d: (d.guest, -d.urgency, share(d), d.queue))
+    return [d.queue for d in order]
--- a/tests/test_oplog.py
+++ b/tests/test_oplog.py
@@ -31,7 +31,7 @@
             pages = list(dict.fromkeys(log.stale()))[:4]
         self.revision += 1
         for name in pages:
-            self.pages[name] = encode(jobs[name[0]].pages[name[1]].value(lsn))
+            self.pages[name] = encode(jobs[name[0]].checkpoint(name[1], lsn))
         if flush is not None:
             value = encode(flush.value)
             assert len(value) <= VALUE_KB * 1024
@@ -70,6 +70,7 @@
             job.done,
             sorted(job.waiting),
             sorted((i, a.number, a.machine) for i, a in job.live.items()),
+            job.faulty,  # the next leader must not start a faulty job afresh everywhere
         )
         for name, job in jobs.items()
     }
@@ -84,7 +85,7 @@
     rng = random.Random(seed)
     kept, log = Kept(), OpLog(VALUE_KB)
     jobs: dict[str, Job] = {}
-    number = reused = 0
+    number = reused = faulty = 0
     durable = picture(jobs)
     for _ in range(1500):
         kind = rng.random()
@@ -97,7 +98,9 @@
         if kind < 0.5 and index is not None:
             one.place(index, f"host-{rng.randrange(50)}")
         elif kind < 0.9 and one.live:
-            one.finish(rng.choice(list(one.live.values())), rng.random() < 0.7)
+            end, sound = rng.random(), one.spec.nameId[-1] not in "37"
+            attempt = rng.choice(list(one.live.values()))
+            one.finish(attempt, sound and end < 0.7, failed=end > (0.95 if sound else 0.5))
         elif kind < 0.97:
             while log.pending:
                 kept.flush(log, jobs)
@@ -108,6 +111,8 @@
         elif kind > 0.985:
             log, jobs = kept.load({name: job.spec.tasks for name, job in jobs.items()})
             assert picture(jobs) == durable
+            faulty += any(job.faulty for job in jobs.values())
+    assert faulty
     assert reused  # segments were used again, so that old content was met
     assert len(kept.segments) < 40
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -146,6 +146,7 @@
         if not self._spend("requests", 1):
             return 429, {"error": "too many requests"}
         if parts.path == "/commit":
+            assert len(body) <= 64 * 1024
             return self._commit(data)
         if parts.path == "/leases":
             self.lease_number += 1
@@ -174,19 +175,20 @@
         return 200, {"k": key, "v": value, "stamp": stamp}
 
     def _commit(self, data: dict[str, Any]) -> tuple[int, Any]:
-        assert len(json.dumps(data)) <= 64 * 1024
         assert len(data["if"]) <= 4 * self.world.settings.cluster.state.txn_ops
-        if not self._spend("changes", len(data["apply"])):
+        apply = data.get("apply", [])
+        if not self._spend("changes", len(apply)):
             return 429, {"error": "too many changes"}
-        assert len(data["apply"]) <= self.world.settings.cluster.state.txn_ops
-        assert all(len(json.dumps(op.get("v"))) <= 16 * 1024 for op in data["apply"])
-        for op in data["apply"]:
+        assert len(apply) <= self.world.settings.cluster.state.txn_ops
+        assert all(len(json.dumps(op.get("v"), separators=(",", ":"))) <= 16 * 1024 for op in apply)
+        for op in apply:
             if op.get("permit") is not None and op["permit"] not in self.leases:
                 return 400, {"error": "no such lease"}
         failed = [c["k"] for c in data["if"] if self.keys.get(c["k"], (0, 0, 0))[1] != c["stamp"]]
         if failed:
             return 409, {"failed": failed, "ledgerRev": self.rev}
-        self._apply(data["apply"])
+        if apply:
+            self._apply(apply)
         return 200, {"ledgerRev": self.rev}
 
     async def _changes(self, source: str, query: dict[str, str]) -> tuple[int, Any]:
