--- a/src/chalkgrade/controller.py
+++ b/src/chalkgrade/controller.py
@@ -24,6 +24,7 @@
 from chalkgrade.renting import Renter
 from chalkgrade.rounds import Round
 from chalkgrade.settings import Settings
+from chalkgrade.standing import Standing, line, standing
 
 log = logging.getLogger("chalkgrade.controller")
 
@@ -178,11 +179,14 @@
         if report.baton > self.token:
             self.leadership.heard(report.baton)
             return 421, {}
+        known = self.fleet.machines.get(report.host)
+        if known is not None and known.reported_at is None:
+            self.renter.came(known)
         machine = self.fleet.take(report)
         if machine is not None and machine.name in self.book.images:
-            known = self.book.images.pop(machine.name)
-            machine.image_gb |= known
-            machine.images = {**dict.fromkeys(known, self.clock.now()), **machine.images}
+            images = self.book.images.pop(machine.name)
+            machine.image_gb |= images
+            machine.images = {**dict.fromkeys(images, self.clock.now()), **machine.images}
         answer: dict[str, Any] = {"baton": self.token, "orders": []}
         if machine is None:
             return 200, answer
@@ -303,7 +307,7 @@
                 ", the job is held for faulty" if job.faulty else "",
             )
         elif cause == "no_room":
-            machine.reported_at = None  # our picture of it is wrong: wait for the next report
+            machine.misread = True  # our picture of it is wrong: wait for the next report
 
     def _finish(
         self, machine: Machine | None, attempt: Attempt, done: bool, failed: bool = False
@@ -339,6 +343,9 @@
                 pass
             self.round_wanted.clear()
             began = self.clock.now()
+            if not self.live() and began - self.told_at >= constants.TELL_EVERY_S:
+                self.told_at = began
+                log.warning("nothing is started: %s", line(self.standing()) or "no lease")
             if self.live():
                 self._sweep()
                 self._round(began)
@@ -367,6 +374,13 @@
             self.told_at = now
             self._tell()
 
+    def standing(self) -> Standing:
+        """How many tasks of each class wait, and for what."""
+        now = self.clock.now()
+        refused = {pool for pool, until in self.renter.blocked.items() if until > now}
+        jobs = self.jobs.values()
+        return standing(jobs, self.fleet, self.teams, self.flavors, refused, self.live(), now)
+
     def _tell(self) -> None:
         """One line for operators: what there is, what runs, what waits."""
         states: dict[str, int] = defaultdict(int)
@@ -386,5 +400,8 @@
             usable,
             idle,
             dict(sorted(states.items())),
-            dict(waiting),
+            {name: count for name, count in waiting.items() if count},
         )
+        why = self.standing()
+        if why:
+            log.info("standing: %s", line(why))
--- a/src/chalkgrade/daemon.py
+++ b/src/chalkgrade/daemon.py
@@ -209,6 +209,14 @@
             "Attempts that may be present",
             sum(len(job.live) for job in term.jobs.values()),
         )
+        why = Gauge(
+            "chalkgrade_tasks_standing",
+            "Waiting tasks by class and reason",
+            ["class", "reason"],
+            registry=registry,
+        )
+        for (jobclass, reason), count in term.standing().items():
+            why.labels(jobclass, reason).set(count)
         counter("attempts", "Ended attempts by cause", "cause", dict(term.counts))
     return generate_latest(registry)
 
--- a/src/chalkgrade/fleet.py
+++ b/src/chalkgrade/fleet.py
@@ -84,6 +84,8 @@
         self.seq = 0
         self.baton = 0
         self.reported_at: float | None = None  # when its newest report came
+        self.misread = False  # it refused a task that should have fitted
+        self.hired = False  # rented under this token, so that its boot is seen whole
         self.answered_at: float | None = None  # when we last may have renewed its lease
         self.tasks: dict[tuple[str, int], TaskReport] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
@@ -174,6 +176,7 @@
             return None
         machine.tenure, machine.seq, machine.baton = report.tenure, report.seq, report.baton
         machine.reported_at = self._clock.now()
+        machine.misread = False
         machine.warned = machine.warned or report.warningS is not None
         machine.tasks = {(entry.task, entry.number): entry for entry in report.tasks}
         return machine
@@ -215,7 +218,8 @@
 
     def usable(self, machine: Machine) -> bool:
         """Whether work may be placed on it now."""
-        return machine.reported_at is not None and self.ours(machine) and self.hopeful(machine)
+        heard = machine.reported_at is not None and not machine.misread
+        return heard and self.ours(machine) and self.hopeful(machine)
 
     def hopeful(self, machine: Machine) -> bool:
         """Whether a machine serves, or will once it is up: not going, sick or silent."""
--- a/src/chalkgrade/renting.py
+++ b/src/chalkgrade/renting.py
@@ -14,7 +14,7 @@
 from chalkgrade.fleet import Fleet, Machine
 from chalkgrade.jobs import Attempt, JobSpec
 from chalkgrade.outside import Clock, NoAnswer
-from chalkgrade.rentals import Cloud, Have, Need, Pool, Refused, plan_rent
+from chalkgrade.rentals import BOTH, Boots, Cloud, Have, Need, Pool, Refused, plan_rent
 from chalkgrade.rounds import left_s
 
 log = logging.getLogger("chalkgrade.renting")
@@ -55,6 +55,9 @@
         self.hire_number = 0
         self.doomed: dict[str, None] = {}  # names to release
         self.began = clock.now()
+        self.boots = Boots()
+        self.doubted: set[Pool] = set()
+        self.work_waits = True  # some work waited at the last plan
         self.planned_at = -1e9
         self.plan_took = 0.0
 
@@ -135,9 +138,14 @@
         ):
             return "not listed and silent"
         if machine.reported_at is None and flavor is not None:
+            pool = (machine.hosttype, machine.site, machine.standby)
             patience = max(constants.BOOT_PATIENCE_MIN_S, constants.BOOT_PATIENCE * flavor.bootS)
-            if now - machine.born > patience and now - machine.known_at > 20:
-                return "never came up"
+            age = now - machine.born
+            if now - machine.known_at > constants.BOOT_KNOWN_S:
+                if age > patience:
+                    return "never came up"
+                if self.boots.late(pool, flavor.bootS, age) and not self.work_waits:
+                    return "late, and nothing waits for it"
         elif (
             machine.reported_at is not None
             and silent > constants.SILENT_RELEASE_LEASES * self.fleet.lease_s
@@ -150,6 +158,8 @@
 
     def _doom(self, machine: Machine, why: str) -> None:
         if not machine.releasing:
+            if machine.reported_at is None and machine.hosttype:
+                self.boots.lost((machine.hosttype, machine.site, machine.standby), machine.born)
             log.info("releasing %s (%s %s): %s", machine.name, machine.hosttype, machine.site, why)
             machine.releasing = True
         self.doomed[machine.name] = None
@@ -217,11 +227,16 @@
         while self.live():
             now = self.clock.now()
             shut = [pool for pool, until in self.blocked.items() if until > now]
+            doubtful, probing = self._doubtful(now)
+            shut += probing
             self.planned_at = now
             needs = self._needs()
+            self.work_waits = bool(needs)
             if needs:
-                wanted = plan_rent(needs, self._have(now), self.flavors, [*shut, *self.hires])
-                for pool, count in wanted.items():
+                closed = [*shut, *self.hires]
+                wanted = plan_rent(needs, self._have(now), self.flavors, closed, self.boots)
+                for pool, planned in wanted.items():
+                    count = min(planned, constants.BOOT_PROBES) if pool in doubtful else planned
                     self.hire_number += 1
                     self.hires[pool] = (f"h{self.fleet.token}-{self.hire_number}", count)
             self.plan_took = self.clock.now() - now
@@ -235,10 +250,39 @@
                 del self.hires[pool]
                 log.info("rented %d of %d of %s", len(names), count, pool)
                 for name in names:
-                    self.fleet.machine(name, *pool)
+                    self.fleet.machine(name, *pool).hired = True
                 if len(names) < count:
                     self.blocked[pool] = self.clock.now() + constants.REFUSED_S
 
+    def _doubtful(self, now: float) -> tuple[set[Pool], list[Pool]]:
+        """Pools whose machines do not come up, and those of them that are being tried again."""
+        booting: dict[Pool, list[float]] = {}
+        for machine in self.fleet.machines.values():
+            if machine.reported_at is None and machine.hosttype and not machine.releasing:
+                pool = (machine.hosttype, machine.site, machine.standby)
+                booting.setdefault(pool, []).append(machine.born)
+        doubtful: set[Pool] = set()
+        probing: list[Pool] = []
+        for flavor in self.flavors.values():
+            for pool in ((flavor.sku, site, spot) for site in flavor.sites for spot in BOTH):
+                births = booting.get(pool, [])
+                if not self.boots.doubtful(pool, flavor.bootS, births, now):
+                    continue
+                doubtful.add(pool)
+                if any(not self.boots.late(pool, flavor.bootS, now - born) for born in births):
+                    probing.append(pool)
+        if doubtful != self.doubted:
+            self.doubted = doubtful
+            log.info("machines do not come up in time: %s", sorted(doubtful) or "nowhere any more")
+        return doubtful, probing
+
+    def came(self, machine: Machine) -> None:
+        """A machine has reported for the first time."""
+        flavor = self.flavors.get(machine.hosttype)
+        if machine.hired and flavor is not None:
+            pool = (machine.hosttype, machine.site, machine.standby)
+            self.boots.came(pool, machine.born, self.clock.now(), flavor.bootS)
+
     def _have(self, now: float) -> list[Have]:
         """Machines that serve or will: the listed, the booting, not the silent or sick."""
         out = []
@@ -246,14 +290,17 @@
             flavor = self.flavors.get(machine.hosttype)
             if flavor is None or not self.fleet.hopeful(machine):
                 continue
+            pool = (machine.hosttype, machine.site, machine.standby)
             boot = 0.0
             if machine.reported_at is None:
-                boot = max(1.0, flavor.bootS - (now - machine.born))
+                left = self.boots.left(pool, flavor.bootS, now - machine.born)
+                if left is None:
+                    continue  # what it was rented for must come from elsewhere
+                boot = left
             busy: list[tuple[float, int]] = []
             for attempt in machine.attempts.values():
                 cpus = max(1, math.ceil(attempt.job.spec.vcpus - 1e-9))
                 busy.append((left_s(self.queues, attempt, now), cpus))
             free = max(0, int(flavor.vcpus) - sum(cpus for _, cpus in busy))
-            pool = (machine.hosttype, machine.site, machine.standby)
             out.append(Have(pool, [*busy, (boot, free)]))
         return out
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import contextvars
+import heapq
 import json
 import random
 import selectors
@@ -53,17 +55,46 @@
         return self._map
 
 
+# Which controller a callback belongs to: a silent one's callbacks wait until it resumes.
+MEMBER: contextvars.ContextVar[str] = contextvars.ContextVar("member", default="")
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time jumps to the next timer."""
+    """An event loop whose time jumps to the next timer, and that can stop single controllers."""
 
     def __init__(self) -> None:
         self._virtual = _Selector()
         super().__init__(self._virtual)
         self._clock_resolution = 1e-6
+        self._frozen: dict[str, float] = {}
 
     def time(self) -> float:
         return self._virtual.now
 
+    def freeze(self, member: str, until: float) -> None:
+        """Nothing of a controller runs until then; its clocks go on."""
+        self._frozen[member] = until
+        for handle in self._scheduled:  # type: ignore[attr-defined]
+            if handle._context.get(MEMBER) == member:
+                handle._when = max(handle._when, until)
+        heapq.heapify(self._scheduled)  # type: ignore[attr-defined]
+
+    def _until(self, context: contextvars.Context | None) -> float:
+        member = MEMBER.get() if context is None else context.get(MEMBER, "")
+        return self._frozen.get(member, 0.0) if self._frozen else 0.0
+
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> asyncio.Handle:
+        until = self._until(context)
+        if until > self.time():
+            return super().call_at(until, callback, *args, context=context)
+        return super().call_soon(callback, *args, context=context)
+
+    def call_at(
+        self, when: float, callback: Any, *args: Any, context: Any = None
+    ) -> asyncio.TimerHandle:
+        when = max(when, self._until(context))
+        return super().call_at(when, callback, *args, context=context)
+
 
 class Clock:
     """A node's clocks, with its own rate."""
@@ -223,6 +254,7 @@
         self.hires: dict[str, list[str]] = {}
         self.machines: dict[str, dict[str, Any]] = {}
         self.history: list[tuple[float, list[dict[str, Any]]]] = []
+        self.boot_trouble = (0.0, 1.0, 0.0)  # share that never comes, times as slow, until when
 
     def flavors(self) -> dict[str, Any]:
         return {
@@ -298,14 +330,17 @@
                 "status": "starting",
                 "born": self.world.now,
             }
-            if self.world.rng.random() > 0.04:
+            fail, _, until = self.boot_trouble
+            if self.world.rng.random() > (fail if self.world.now < until else 0.04):
                 flavor = next(f for f in self.flavors()["hosttypes"] if f["sku"] == pool[0])
                 self.world.spawn(self._boot(name, flavor))
         self.hires[data["hire"]] = names
         return 200, {"hosts": names}
 
     async def _boot(self, name: str, flavor: dict[str, Any]) -> None:
-        await asyncio.sleep(flavor["bootS"] * self.world.rng.uniform(0.2, 1.8))
+        _, factor, until = self.boot_trouble
+        factor = factor if self.world.now < until else 1.0
+        await asyncio.sleep(flavor["bootS"] * factor * self.world.rng.uniform(0.2, 1.8))
         if name in self.machines:
             self.machines[name]["status"] = "running"
             worker = Worker(self.world, self.machines[name], flavor)
@@ -574,6 +609,7 @@
 class World:
     """Everything, and the rules."""
 
+    KINDS = 15  # of trouble
     MEMBERS = ("n-0", "n-1", "n-2")
     REPORT_S = REPORT_S
     STATE = {"rps": 200, "write_rps": 40, "txn_ops": 16, "value_kb": 16}
@@ -591,7 +627,10 @@
         self.settings_of: dict[str, Settings] = {}
         self.nodes: dict[str, Node | None] = dict.fromkeys(self.MEMBERS)
         self.epochs = dict.fromkeys(self.nodes, 0)
-        self.cuts: list[tuple[frozenset[str], frozenset[str], float, bool]] = []
+        self.contexts: dict[str, contextvars.Context] = {}
+        self.outside = contextvars.Context()
+        self.cuts: list[tuple[frozenset[str], frozenset[str], float, bool, bool]] = []
+        self.storm_until = 0.0
         self.settings = self._settings("n-0")
         self.store, self.cloud = Store(self), Cloud(self)
         self.workers: dict[str, Worker] = {}
@@ -608,7 +647,8 @@
         return self.loop.time()
 
     def spawn(self, work: Awaitable[Any]) -> asyncio.Task[Any]:
-        task = asyncio.ensure_future(work)
+        # Outside of all controllers: what is on its way goes on when its sender falls silent.
+        task = self.loop.create_task(work, context=self.outside)  # type: ignore[arg-type]
         self.background.add(task)
         task.add_done_callback(self._ended)
         return task
@@ -651,7 +691,14 @@
         http = _Http(self, member, self.epochs[member])
         node = Node(self._settings(member), http, http, clock, random.Random(self.rng.random()))
         self.nodes[member] = node
-        node.start()
+        self.contexts[member] = contextvars.Context()
+        self.contexts[member].run(MEMBER.set, member)
+        self.contexts[member].run(node.start)
+
+    async def _on(self, member: str, work: Awaitable[Any]) -> Any:
+        """Have a controller do something, as part of it: it waits while that is silent."""
+        task = self.loop.create_task(work, context=self.contexts[member])  # type: ignore[arg-type]
+        return await task
 
     def crash(self, member: str) -> None:
         node = self.nodes[member]
@@ -667,13 +714,16 @@
         if self.nodes[member] is None:
             self.boot(member)
 
-    def cut(self, one: set[str], other: set[str], seconds: float, hold: bool) -> None:
-        self.cuts.append((frozenset(one), frozenset(other), self.now + seconds, hold))
+    def cut(
+        self, one: set[str], other: set[str], seconds: float, hold: bool, one_way: bool = False
+    ) -> None:
+        """Part two sides of the network; `one_way`: only what goes from the first to the other."""
+        self.cuts.append((frozenset(one), frozenset(other), self.now + seconds, hold, one_way))
 
     def _cut(self, one: str, other: str) -> tuple[float, bool] | None:
-        for left, right, until, hold in self.cuts:
+        for left, right, until, hold, one_way in self.cuts:
             if self.now < until and (
-                (one in left and other in right) or (one in right and other in left)
+                (one in left and other in right) or (one in right and other in left and not one_way)
             ):
                 return until, hold
         return None
@@ -723,10 +773,11 @@
                     return None
                 epoch = self.epochs[target]
                 if method == "PEER":
-                    answer = 200, json.loads(msgspec.json.encode(await node.on_peer(body)))
+                    reply = await self._on(target, node.on_peer(body))
+                    answer = 200, json.loads(msgspec.json.encode(reply))
                 else:
                     raw = body if isinstance(body, bytes) else json.dumps(body).encode()
-                    status, data = await node.handle(method, path, raw)
+                    status, data = await self._on(target, node.handle(method, path, raw))
                     answer = status, json.loads(msgspec.json.encode(data))
                 if self.epochs[target] != epoch:
                     return None
@@ -907,7 +958,7 @@
     async def troubles(self, until: float) -> None:
         while self.now < until:
             await asyncio.sleep(self.rng.expovariate(1 / 9.0))
-            self.trouble(self.rng.randrange(11), self.rng.uniform(3, 25))
+            self.trouble(self.rng.randrange(self.KINDS), self.rng.uniform(3, 25))
 
     def trouble(self, kind: int, seconds: float) -> None:
         rng, nodes = self.rng, sorted(self.nodes)
@@ -946,6 +997,42 @@
             self.workers[rng.choice(workers)].sick = True
         elif kind == 10:
             self.cut({member}, set(workers), seconds, hold)
+        elif kind == 11:
+            self.loop.freeze(member, self.now + seconds * 3)
+        elif kind == 12:
+            self.cloud.boot_trouble = rng.choice(
+                [(0.0, 0.05, self.now + 60), (0.5, 4.0, self.now + 60), (1.0, 1.0, self.now + 40)]
+            )
+        elif kind == 13:
+            if self.now >= self.storm_until:
+                self.storm_until = self.now + seconds
+                for _ in range(20):
+                    self.spawn(self._storm())
+        elif kind == 14:
+            others = {*nodes, "state", *workers} - {member}
+            self.cut(
+                {member}, set(rng.sample(sorted(others), len(others) // 2)), seconds, hold, True
+            )
+
+    async def _storm(self) -> None:
+        """A user who asks many times as often, for known and unknown jobs."""
+        while self.now < self.storm_until:
+            await asyncio.sleep(self.rng.uniform(0.05, 0.4))
+            known = [name for name, job in self.jobs.items() if job["accepted"]]
+            if not known or self.rng.random() < 0.2:
+                name = f"run-{self.rng.randrange(800000, 899999)}"
+                answer = await self._ask("GET", f"/v2/runs/{name}", b"")
+                if answer is not None and answer[0] == 200:
+                    raise Broken(f"invented: {name}")
+                continue
+            name = self.rng.choice(known)
+            over = self.jobs[name]["over"]
+            answer = await self._ask("GET", f"/v2/runs/{name}", b"")
+            if answer is not None and answer[0] == 404:
+                raise Broken(f"forgotten: {name}")
+            # Two users' answers may cross on their way: only what was over before counts.
+            if answer is not None and answer[0] == 200 and over not in (None, answer[1]["status"]):
+                raise Broken(f"went_back: {name} was {over}, now {answer[1]['status']}")
 
     async def _take(self, name: str, notice: float) -> None:
         worker = self.workers.get(name)
