--- a/src/chalkgrade/book.py
+++ b/src/chalkgrade/book.py
@@ -497,6 +497,10 @@
         ]
         unsure = False
         while True:
+            # After a long silence another may lead: the fence would refuse this, at the
+            # cost of changes that are the new leader's by now.
+            while not self.leadership.acting():
+                await asyncio.sleep(constants.STATE_PAUSE_S)
             try:
                 return await self.ledger.commit(conditions, apply)
             except NotExecuted:
--- a/src/chalkgrade/intake.py
+++ b/src/chalkgrade/intake.py
@@ -338,6 +338,8 @@
         """
         if self.next_reading is None:
             self.next_reading = asyncio.create_task(self._scan(self.reading))
+            # All who waited may have given up: a failure is nobody's then.
+            self.next_reading.add_done_callback(lambda done: done.cancelled() or done.exception())
         return await asyncio.shield(self.next_reading)
 
     async def _scan(self, before: "asyncio.Task[dict[str, bool]] | None") -> dict[str, bool]:
--- a/src/chalkgrade/queues.py
+++ b/src/chalkgrade/queues.py
@@ -49,6 +49,7 @@
         self.shares = Shares()
         self.stamp = 0
         self.dirty = False
+        self.near: dict[str, float] = {}  # image -> CPUs of the machines that hold it
         self.peak_room: Vector = ZERO  # the most room seen to report: C in admission
 
     def record(self, job: Job) -> QueueRecord:
@@ -89,6 +90,11 @@
         alpha = constants.ESTIMATE_ALPHA / job.spec.tasks
         record.correction += alpha * (ratio - record.correction)
 
+    @property
+    def last_at(self) -> float:
+        """Wall time of the last submission of all."""
+        return max((record.last for record in self.shares.queues.values()), default=0.0)
+
     def declarations(self) -> dict[str, Declaration | None]:
         out: dict[str, Declaration | None] = {}
         for name, record in self.shares.queues.items():
@@ -123,7 +129,14 @@
         missed = sum(1 for bound in bounds if age + run_s > bound)
         remaining = 0.0
         if missed < len(bounds):
-            remaining = (len(job.waiting) + len(job.live)) * run_s * max(job.spec.vcpus, 1e-3)
+            # Fetching keeps a CPU as busy as running: in an overload, a job whose image
+            # is nowhere near costs others more than its tasks' run time.
+            waiting = len(job.waiting)
+            afar = max(
+                0.0, waiting - self.near.get(job.spec.bundle, 0.0) / max(job.spec.vcpus, 1e-3)
+            )
+            work = (waiting + len(job.live)) * run_s + afar * self.fetch_s(job)
+            remaining = work * max(job.spec.vcpus, 1e-3)
         return self.guest(job), -job.spec.rank, missed, remaining, job.at
 
     def guest(self, job: Job) -> bool:
--- a/src/chalkgrade/rentals.py
+++ b/src/chalkgrade/rentals.py
@@ -206,6 +206,13 @@
             cpus -= min(count, cpus)
         return out
 
+    def delay(self, usable: list[Pool], cpus: int, run_s: float) -> None:
+        """Lay so many one-CPU runs on these pools, all their CPUs alike."""
+        total = sum(count for pool in usable for _, count in self.pools.get(pool, ()))
+        more = cpus / total * run_s if total else 0.0
+        for pool in usable:
+            self.pools[pool] = [(free + more, count) for free, count in self.pools.get(pool, ())]
+
     def first(self, usable: list[Pool]) -> int:
         """How many CPUs come free at the same time as the first one."""
         heads = [(*self.pools[p][0], p) for p in usable if self.pools.get(p)]
@@ -252,13 +259,18 @@
                     # Useful room is what can be filled now, not all of a big machine.
                     offers.append((price(flavor, standby) / min(count, tasks), full, pool, count))
     # Dear pools are for work that would else wait for very long, or for ever.
-    ratio = constants.PRICE_RATIO_MAX if start <= constants.DEAR_WAIT_S else float("inf")
+    ratio = float("inf") if _dear(start) else constants.PRICE_RATIO_MAX
     for _, full, pool, count in sorted(offers):
         if full <= cheapest * ratio:
             return pool, count
     return None
 
 
+def _dear(start: float) -> bool:
+    """Whether work that would start then may use dear pools."""
+    return start > constants.DEAR_WAIT_S
+
+
 def plan_rent(
     needs: Iterable[Need],
     have: Iterable[Have],
@@ -311,15 +323,23 @@
                 break
             rent(offer[0], offer[1] * width)
             missing -= offer[1]
+        hopeless: set[bool] = set()  # whether dear pools were asked, too, and none would do
         while left > 0:
+            if True in hopeless:
+                # Nothing can be rented for what is left, however late: it only keeps
+                # the others waiting. A huge job must not cost a step each wave.
+                lanes.delay(usable, left * width, need.run_s)
+                break
             # Tasks that start at the same moment are laid at once.
             tasks = left if gang else max(1, min(left, lanes.first(usable) // width))
             taken = lanes.take(usable, tasks * width)
             full = sum(cpus for _, _, cpus in taken) == tasks * width
             start = max(free for _, free, _ in taken) if full else float("inf")
             offer = None
-            if start > need.patience_s:
+            if start > need.patience_s and _dear(start) not in hopeless:
                 offer = _offer(spec, left, start, flavors, shut)
+                if offer is None:
+                    hopeless.add(_dear(start))  # pools only close while a plan is made
                 if offer is not None and boot_s(offer[0]) >= start:
                     offer = None
             if offer is None and start < float("inf"):
--- a/src/chalkgrade/renting.py
+++ b/src/chalkgrade/renting.py
@@ -167,6 +167,10 @@
     async def _release(self) -> None:
         """Return what is doomed or idle; what the cloud has confirmed is surely gone."""
         now = self.clock.now()
+        patience = self.settings.operator.idle_release_s
+        if self.clock.wall() - self.queues.last_at > constants.LULL_S:
+            # Nobody has asked for anything lately: there is less to keep machines for.
+            patience = min(patience, constants.LULL_RELEASE_S)
         for machine in self.fleet.machines.values():
             if machine.attempts or machine.tasks or machine.reported_at is None:
                 # The backstop for aborted work on a machine that does not answer.
@@ -177,7 +181,7 @@
                     self._doom(machine, "aborted work on a silent machine")
                 continue
             idle = now - max(machine.busy_at, self.began)
-            if idle > self.settings.operator.idle_release_s and not machine.releasing:
+            if idle > patience and not machine.releasing:
                 self._doom(machine, "idle")
         while self.doomed:
             names = list(self.doomed)[: constants.RELEASE_MAX]
--- a/src/chalkgrade/rounds.py
+++ b/src/chalkgrade/rounds.py
@@ -116,9 +116,8 @@
             jobs.sort(key=self.queues.order)
         placed = self._fill_guarantees(ready)
         demands = self._demands(ready, capacity)
-        grants = allocate(list(demands.values()), capacity)
-        hard = [(queue, grant) for queue, grant in grants if demands[queue].kind is Kind.HARD]
-        for _, group in itertools.groupby(hard, key=lambda entry: demands[entry[0]].urgency):
+        first, rest = allocate(list(demands.values()), capacity)
+        for _, group in itertools.groupby(first, key=lambda entry: demands[entry[0]].urgency):
             # What bounds need, shortest remaining first: in an overload, parts of all
             # bursts would end none of them in time. Anywhere, but first near its image.
             alike = list(group)
@@ -126,10 +125,9 @@
                 for queue, grant in alike:
                     budget = minus(grant, self.held[queue])
                     placed += self._place_all(ready[queue], budget, not local, local)[0]
-        for queue, grant in grants:
-            if demands[queue].kind is not Kind.HARD:
-                budget = minus(grant, self.held[queue])
-                placed += self._fill_near_first(ready[queue], budget, reserve=True)
+        for queue, grant in rest:
+            budget = minus(grant, self.held[queue])
+            placed += self._fill_near_first(ready[queue], budget, reserve=True)
         order = spare_order(demands.values(), lambda d: dominant(self.held[d.queue], capacity))
         ranks = itertools.groupby(order, key=lambda q: (demands[q].guest, demands[q].urgency))
         for (_, urgency), names in ranks:
@@ -181,6 +179,7 @@
                 self.slots.append(self._slot(machine))
             else:
                 self.full.append(machine)
+        self.queues.near = dict(self.known)
         for hosttype, count in counts.items():
             capacity = plus(capacity, tuple(a * count for a in self.flavors[hosttype].room))
         peak = self.queues.peak_room
@@ -219,6 +218,9 @@
         spec = attempt.job.spec
         ran = self.now - attempt.since if attempt.since else 0.0
         lost = min(ran, spec.flushS) if spec.savepointS > 0 else ran
+        if not attempt.since and attempt.decided:
+            # A fetch is given up with the last task that waits for it.
+            lost = min(self.now - attempt.decided, self.queues.fetch_s(attempt.job))
         if spec.shape == "gang":
             lost *= spec.tasks  # the others can't go on without it
         stopping = attempt.kill_at is not None
@@ -274,7 +276,7 @@
         behind: list[tuple[Job, int]] = []
         for job in jobs:
             if self.preempt and self.queues.clock.wall() - job.at > constants.PREEMPT_WAIT_S:
-                count = min(job.startable, self._needed(job) - len(job.live))
+                count = min(job.startable, self.queues.needed(job) - len(job.live))
                 if count > 0 and not self.queues.guest(job):
                     behind.append((job, count))
         if not behind:
@@ -338,6 +340,7 @@
                 tuple(max(a, b) for a, b in zip(rate, now, strict=True)),
                 remaining,
                 urgency=max(job.spec.rank for job in jobs),
+                needed=ZERO if guest else now,
                 guest=guest,
                 held=self.held[queue],
             )
--- a/src/chalkgrade/shares.py
+++ b/src/chalkgrade/shares.py
@@ -93,6 +93,7 @@
     remaining: float  # dominant work left in its burst, in amount-seconds
     weight: float = 1.0
     urgency: int = 0
+    needed: Vector = (0.0, 0.0, 0.0)  # what its bursts' next bounds need now
     guest: bool = False  # gets what nobody else wants
     held: Vector = field(default=())  # what its running work takes
 
@@ -148,36 +149,64 @@
     return given
 
 
-def allocate(demands: list[Demand], capacity: Vector) -> list[tuple[str, Vector]]:
-    """Steps 4 to 6: grants in the order in which they are to be filled."""
+Grants = list[tuple[str, Vector]]
+
+
+def allocate(demands: list[Demand], capacity: Vector) -> tuple[Grants, Grants]:
+    """Steps 4 to 6: grants in the order in which they are to be filled.
+
+    First what bounds need, by urgency: a lower priority's fixed rate must not
+    go before a higher one's burst, whatever class admission put them in. Then
+    all that soft and elastic queues get of the rest.
+    """
     room = capacity
-    grants: list[tuple[str, Vector]] = []
+    given: dict[str, Vector] = {d.queue: tuple(0.0 for _ in capacity) for d in demands}
+    first: list[str] = []
+    soft = [demand for demand in demands if demand.kind is Kind.SOFT]
+    soft.sort(key=lambda d: (-d.urgency, d.remaining, d.queue))
 
-    def give(demand: Demand, limit: Vector) -> None:
+    def grant(queue: str, amount: Vector) -> None:
         nonlocal room
-        amount = _upto(limit, demand.wants, room)
+        given[queue] = plus(given[queue], amount)
         room = minus(room, amount)
-        grants.append((demand.queue, amount))
 
-    for demand in demands:
-        if demand.kind is Kind.HARD:
-            # A fixed rate below one task would never start anything: round up to one.
-            floor = tuple(max(r, t) for r, t in zip(demand.rate, demand.task, strict=True))
-            give(demand, floor)
-    soft = [demand for demand in demands if demand.kind is Kind.SOFT]
-    for demand in sorted(soft, key=lambda d: (-d.urgency, d.remaining, d.queue)):
+    def give(demand: Demand, limit: Vector) -> None:
+        grant(demand.queue, _upto(limit, minus(demand.wants, given[demand.queue]), room))
+
+    def share(some: list[Demand], limit: Callable[[Demand], Vector]) -> None:
+        wanted = {
+            d.queue: (d.task, minus(_least(limit(d), d.wants), given[d.queue]), d.weight)
+            for d in some
+        }
+        for queue, amount in drf(wanted, room, capacity).items():
+            grant(queue, amount)
+
+    own = [demand for demand in demands if not demand.guest]
+    for urgency in sorted({demand.urgency for demand in own}, reverse=True):
+        tier = [demand for demand in own if demand.urgency == urgency]
+        for demand in tier:
+            if demand.kind is Kind.HARD:
+                # A fixed rate below one task would never start anything: round up to one.
+                floor = tuple(max(r, t) for r, t in zip(demand.rate, demand.task, strict=True))
+                give(demand, floor)
+        for demand in soft:
+            if demand in tier:
+                give(demand, demand.needed)
+        bursty = [d for d in tier if d.kind is Kind.ELASTIC and any(d.needed)]
+        share(bursty, lambda d: d.needed)
+        first += [demand.queue for demand in tier]
+    before = [(queue, given[queue]) for queue in first if any(given[queue])]
+    for demand in soft:
         give(demand, demand.wants)
     for guest in (False, True):
-        elastic = {
-            demand.queue: (demand.task, demand.wants, demand.weight)
-            for demand in demands
-            if demand.kind is Kind.ELASTIC and demand.guest is guest
-        }
-        given = drf(elastic, room, capacity)
-        for amount in given.values():
-            room = minus(room, amount)
-        grants += given.items()
-    return grants
+        some = [d for d in demands if d.kind is Kind.ELASTIC and d.guest is guest]
+        share(some, lambda d: d.wants)
+    order = [d.queue for d in soft] + [d.queue for d in demands if d.kind is Kind.ELASTIC]
+    return before, [(queue, given[queue]) for queue in order]
+
+
+def _least(one: Vector, other: Vector) -> Vector:
+    return tuple(map(min, one, other))
 
 
 def spare_order(demands: Iterable[Demand], share: Callable[[Demand], float]) -> list[str]:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -69,7 +69,7 @@
 
 
 def test_hard_gets_its_rate_soft_the_shortest_first_elastic_the_rest() -> None:
-    grants = allocate(
+    first, rest = allocate(
         [
             demand("batch", Kind.ELASTIC, 500),
             demand("long", Kind.SOFT, 40, remaining=9),
@@ -78,8 +78,8 @@
         ],
         CAPACITY,
     )
-    assert [(queue, round(amount[0])) for queue, amount in grants] == [
-        ("hard", 50),
+    assert [(queue, round(amount[0])) for queue, amount in first] == [("hard", 50)]
+    assert [(queue, round(amount[0])) for queue, amount in rest] == [
         ("short", 30),
         ("long", 20),
         ("batch", 0),
@@ -87,8 +87,21 @@
 
 
 def test_a_rate_below_one_task_is_rounded_up_to_one() -> None:
-    grants = dict(allocate([demand("hard", Kind.HARD, 8, rate=0.5, task=4)], CAPACITY))
-    assert grants["hard"][0] == pytest.approx(4)
+    first, _ = allocate([demand("hard", Kind.HARD, 8, rate=0.5, task=4)], CAPACITY)
+    assert dict(first)["hard"][0] == pytest.approx(4)
+
+
+def test_a_more_urgent_burst_goes_before_a_fixed_rate_whatever_its_class() -> None:
+    """Found on a grown day: unsafe, so elastic, urgent bursts stood behind hard rates.
+
+    Thousands of their tasks waited while less urgent work held most CPUs.
+    """
+    low = demand("low", Kind.HARD, 500, rate=90)
+    urgent = demand("urgent", Kind.ELASTIC, 500, urgency=1)
+    urgent.needed = (70.0, 0.0, 0.0)
+    first, rest = allocate([low, urgent], CAPACITY)
+    assert [(queue, round(amount[0])) for queue, amount in first] == [("urgent", 70), ("low", 30)]
+    assert dict(rest)["urgent"][0] == pytest.approx(70)
 
 
 def test_drf_textbook_example() -> None:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -265,7 +265,7 @@
     plain |= dict(rate=(0.0, 0.0, 0.0), remaining=1.0, urgency=1)
     guest = Demand("g/c", "g", guest=True, **plain)  # type: ignore[arg-type]
     team = Demand("t/c", "t", **plain)  # type: ignore[arg-type]
-    grants = dict(allocate([guest, team], room))
+    grants = dict(allocate([guest, team], room)[1])
     assert grants["t/c"][0] == 10.0
     assert grants["g/c"][0] == 0.0
     assert spare_order([guest, team], lambda d: 0.0 if d.guest else 1.0) == ["t/c", "g/c"]
@@ -363,3 +363,37 @@
         assert await ledger.present(["x/a", "x/b", "x/c", "x/d"]) == {"x/b", "x/c"}
 
     _tell(story)
+
+
+def test_a_huge_job_and_hundreds_of_tiny_ones_survive_a_takeover_within_the_limits() -> None:
+    """100,000 tasks of one job, and 300 one-task jobs in a quarter of a minute, of a guest."""
+
+    async def story(world: World) -> None:
+        leader, _ = _roles(world)
+        tiny = {"tasks": 1, "vcpus": 0.25, "memoryGb": 0.5, "expectedS": 200.0}
+        huge = await _submit(world, leader, 1, tasks=100_000, expectedS=3.0, pullGb=0.0)
+        late = 0
+        for number in range(2, 302):
+            begun = world.now
+            await _submit(world, leader, number, **tiny)
+            late += world.now - begun > 0.5
+            await asyncio.sleep(0.05)
+        assert late <= 15
+        while world.started < 100:
+            assert world.now < 1100.0
+            await asyncio.sleep(0.5)
+        member = leader.settings.member
+        world.crash(member)
+        await asyncio.sleep(15.0)
+        heir, _ = _roles(world)
+        assert heir.term is not None
+        assert len(heir.term.jobs) + len(heir.term.book.over) >= 301 - len(world.done)
+        job = heir.term.jobs[huge["nameId"]]
+        assert len(job.waiting) + len(job.live) + job.done == 100_000
+        before = world.started
+        await asyncio.sleep(15.0)
+        assert world.started > before + 20
+        # The store checks each value and commit, and refuses what is over the rates.
+        assert world.store.refused_calls == 0
+
+    _tell(story)
