--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -1,13 +1,16 @@
 """A grown region: five controllers, many machines, few changes a second, long reports."""
 
+import asyncio
 from typing import Any
 
+import msgspec
 import pytest
 
 from chalkgrade import constants
 from chalkgrade.ledger import Ledger
+from chalkgrade.rounds import Round
 from chalkgrade.settings import StateLimits
-from world import VirtualLoop, World, play
+from world import VirtualLoop, World, play, tell
 
 
 class Grown(World):
@@ -61,3 +64,38 @@
         if nodes > 1:
             assert ledgers[-1].writes.rate == pytest.approx(20.0 * constants.LEADER_WRITE_SHARE)
     loop.close()
+
+
+def test_a_queues_need_counts_what_its_other_jobs_hold() -> None:
+    """Found on a grown day: jobs without a waiting task used up what the others were granted.
+
+    A queue that held more than its late jobs' need started none of their tasks.
+    """
+
+    async def story(world: World) -> None:
+        leader = next(n for n in world.nodes.values() if n is not None and n.term is not None)
+        term = leader.term
+        assert term is not None
+        plain = {"owner": "red", "jobclass": "late", "shape": "batch", "urgency": "high"}
+        plain |= {"vcpus": 1.0, "memoryGb": 2.0, "oneZone": False, "spread": False}
+        plain |= {"hosttypes": None, "site": None, "standby": True, "expectedS": 20.0}
+        for number, tasks in ((1, 12), (2, 30)):
+            spec = world.spec(number, **(plain | {"tasks": tasks, "dueS": 60.0}))
+            world.jobs[spec["nameId"]] = {"spec": spec, "aborted": None, "over": None}
+            status, _ = await leader.handle("POST", "/v2/runs", msgspec.json.encode(spec))
+            assert status == 201
+        first, second = (term.jobs[f"run-{number:06d}"] for number in (1, 2))
+        while not (second.live and len(second.waiting)):
+            assert world.now < 1040.0
+            await asyncio.sleep(0.2)
+        parts = term.jobs, term.fleet, term.teams, term.flavors, term.queues, term.clock
+        plan = Round(*parts)
+        held = (len(first.live) + len(second.live)) * 1.0
+        plan.least, plan.rooms = second.spec.rank, {second.spec.room}
+        plan.held[second.queue] = (held, 0.0, 2 * held)
+        demand = plan._demands({second.queue: [second]}, (100.0, 0.0, 400.0))[second.queue]
+        lack = min(len(second.waiting), max(0, plan._needed(second) - len(second.live)))
+        assert demand.needed[0] == held + lack
+        assert demand.rate[0] >= held + lack
+
+    tell(story, 3)
