--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -56,6 +56,7 @@
 WORKER_MARGIN_S: Final = 2.0  # s; beyond lease_s before a silent machine's tasks count as dead
 SILENT_RELEASE_LEASES: Final = 2.5  # times lease_s; a machine silent this long is replaced
 FAULTY_MACHINES: Final = 2  # machines a job failed on, with no success, before it is held
+PROVEN_RUN_S: Final = 30.0  # s; a replica that ran so long shows that its service is sound
 FAILED_KEPT: Final = 3  # of them written with a page: enough for the next leader's verdict
 SUSPECT_FAILURES: Final = 2  # failures in a row on one machine before it is replaced
 JOB_BACKOFF_S: Final = 2.0  # s; first pause of a faulty job, doubles with each failed probe
--- a/src/chalkgrade/controller.py
+++ b/src/chalkgrade/controller.py
@@ -263,6 +263,9 @@
                 attempt.since = now
             attempt.state = entry.status
             spec = attempt.job.spec
+            if spec.shape == "service" and attempt.since:
+                # Else two sick machines in its life would leave it short of replicas for ever.
+                attempt.job.ran |= now - attempt.since > constants.PROVEN_RUN_S
             machine.image_gb[spec.bundle] = spec.pullGb
             if entry.status != "fetching":
                 self._holds_image(machine, spec.bundle)
--- a/src/chalkgrade/jobs.py
+++ b/src/chalkgrade/jobs.py
@@ -259,6 +259,7 @@
         self.live: dict[int, Attempt] = {}
         self.failed_on: dict[str, int] = {}  # machine -> failed attempts there
         self.probes = 0  # failed attempts since the job is held for faulty
+        self.ran = False  # a replica of it ran for long: nothing of a service is ever done
         self.not_before = 0.0
         self.stays_until: float | None = None  # how long it keeps to machines with its image
 
@@ -360,8 +361,8 @@
 
     @property
     def proven(self) -> bool:
-        """Some task of it was completed: what fails is the machine's fault."""
-        return self.done > 0
+        """Some task was completed, or a replica ran for long: what fails is the machine's fault."""
+        return self.done > 0 or self.ran
 
     @property
     def faulty(self) -> bool:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -80,6 +80,28 @@
     assert job.startable == len(job.waiting) == 9
 
 
+def test_a_service_that_ran_gets_its_replicas_back_after_failures_on_two_machines() -> None:
+    """Nothing of a service is ever done: it must not pass for faulty all its life."""
+
+    async def story(world: World) -> None:
+        leader, _ = _roles(world)
+        await _submit(world, leader, 1, shape="service", jobclass="service", tasks=3)
+        await asyncio.sleep(60.0)
+        assert leader.term is not None
+        job = leader.term.jobs["run-000001"]
+        assert len(job.live) == 3
+        for attempt in list(job.live.values())[:2]:
+            worker = world.workers[attempt.machine]
+            task = worker.tasks[attempt.name, attempt.number]
+            worker._exit(task, "error")
+            worker.changed.set()
+            job.failed_on["host-999999"] = 1
+        await asyncio.sleep(20.0)
+        assert len(job.live) == 3
+
+    tell(story, loss=0.0)
+
+
 def test_faulty_jobs_leave_room_and_machines_to_others() -> None:
     """Few of a faulty job's 60 tasks are tried, and every sound job ends in time."""
 
