--- a/src/chalkgrade/cli.py
+++ b/src/chalkgrade/cli.py
@@ -21,6 +21,14 @@
     sys.exit(2)
 
 
+def _level(usual: str) -> str:
+    """What LOG_LEVEL says, or what is usual where it says nothing."""
+    level = os.environ.get("LOG_LEVEL", usual).lower()
+    if level not in LEVELS:
+        _fail(f"LOG_LEVEL: {level!r} is not one of {', '.join(LEVELS)}")
+    return level
+
+
 def _load(config: str, files: dict[str, str | None]) -> Settings:
     try:
         own = files["operator_settings"]
@@ -79,9 +87,7 @@
 @_files(required=True)
 def serve(config: str, **files: str | None) -> None:
     """Run one controller until it is killed."""
-    level = os.environ.get("LOG_LEVEL", "info").lower()
-    if level not in LEVELS:
-        _fail(f"LOG_LEVEL: {level!r} is not one of {', '.join(LEVELS)}")
+    level = _level("info")
     settings = _load(config, files)
     set_up(level, settings.operator.log_format)
     from chalkgrade.serving.daemon import run  # the server's imports are not needed for `check`
@@ -131,7 +137,7 @@
     except SettingsError as error:
         _fail(error)
         raise AssertionError from error
-    set_up("error", "plain")
+    set_up(_level("error"), "plain")
     told = figures(*play_day(found, seed))
     _print(told, as_json)
     sys.exit(0 if told["verdict"] == "ok" else 1)
@@ -145,6 +151,7 @@
     """Measure something in the simulated region; figures are of simulated machines."""
     import importlib
 
+    set_up(_level("error"), "plain")
     try:
         found = importlib.import_module(f"chalkgrade.experiments.{name}").run(seed)
     except ModuleNotFoundError as error:
--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -11,6 +11,12 @@
 ROUND_S: Final = 1.0  # s; longest time between two scheduling rounds, the design's trial value
 ROUND_MIN_S: Final = 0.15  # s; shortest gap between rounds, so bursts of reports share one round
 DRF_STEP: Final = 0.005  # of the cluster, that the least served gets at once in step 6
+STARVE_S: Final = 20.0  # s; a queue whose oldest job waits longer gets half of its fair share
+STARVE_MOST: Final = 0.5  # of the capacity, that such queues get before others
+STARVE_KEEP: Final = 0.05  # of the machines, kept for tasks of theirs that need much of one
+FAIR_LEAST: Final = (
+    0.1  # of the capacity, that all teams' shares are counted from beside guarantees
+)
 ROUND_REST: Final = 4.0  # times what a round took: at least so long is left for other work
 ESTIMATE_ALPHA: Final = 0.3  # weight of a new observation in the run-time correction of a class
 CORRECTION_MIN: Final = 0.3  # lower bound of that correction: estimates are off by half, not by 10x
@@ -57,8 +63,11 @@
 REACH_S: Final = 0.5  # s; they try for so long, below what we wait for them
 LATE_S: Final = 0.4  # s; a loop that runs later than this proves nothing of others' silence
 LATE_KEPT_S: Final = 30.0  # s; lateness is remembered for so long
+PAST_KEPT: Final = 4  # earlier processes of a controller; a word is held for a second at most
 WORD_OLD_S: Final = 1.0  # s; a word older than this by its sender's time of day is no sign of life
 DROPPED_TELL_S: Final = 60.0  # s; between two lines about dropped messages
+TOKEN_MAX: Final = 1 << 63  # tokens are integers below 2^64; what is believed before any read
+YOUNG_S: Final = 10.0  # s; who started later lets others lead: it may be in a loop of crashes
 REVISION_SLACK_S: Final = 60.0  # s of changes, by which another may know more than we do
 LEADERLESS_S: Final = 4.0  # s; after that the leader is only out of our reach: none is kept
 LEADER_HOLD_S: Final = 2.4  # s; a report waits for a leader; workers give up at 4 s
@@ -182,13 +191,17 @@
 QUERY_DEADLINE_S: Final = 1.6  # s; users wait 2 s for a poll
 FINAL_CACHE: Final = 20_000  # final states kept in memory on each node
 RETRY_AFTER_S: Final = 1  # s; what a user is told when nothing can be decided
-# Of the 1,200 sockets of the smallest deployment most stay for workers and whole requests.
+# Parts of the sockets that the platform allows, so that they fit a fleet of any size.
+SOCKETS_LEAST: Final = 256  # fewer can't be worked with
+SOCKETS_OUT: Final = 0.12  # kept for controllers, state service, cloud; 184 of 1,532
+CROWDED_PART: Final = 0.85  # of the rest, above which answers close their connections
+UNFINISHED_PART: Final = 0.7  # of the rest, without a whole request: 943 of 1,348, as a fleet of
+# 890 that comes back at once opens all its connections before the first is read.
+IDLE_USERS_PART: Final = 0.3  # of the rest, of users that ask nothing; new ones go elsewhere
 REQUEST_S: Final = 10.0  # s; a head and body take at most; users give up at 5 s, workers at 4 s
 UNFINISHED_KEPT: Final = 128  # connections without a whole request that may stay, once not new
 UNFINISHED_NEW_S: Final = 1.0  # s; so long one is new: a fleet that comes back at once is not cut
-UNFINISHED_MAX: Final = 640  # of them at any instant: 593 machines come back at once
 USERS_BUSY_MAX: Final = 256  # users' requests answered at once; twice what a burst of 1 s brings
-IDLE_USERS_MAX: Final = 400  # idle connections of users; the load balancer spreads new ones
 CLOSE_S: Final = 0.5  # s; answers under way have so long when a server is closed
 GUARD_EVERY_S: Final = 0.5  # s; between two looks at them
 KEEPALIVE_S: Final = 120.0  # s; an idle connection is kept; workers report every few seconds
@@ -216,3 +229,11 @@
 MOVE_HOME_S: Final = 30.0  # s; a target is kept for a stopped task so long
 MOVE_SLACK_S: Final = 2.0  # s; on top of save, fetch and reports in what a plan should take
 MOVE_GAIN_S: Final = 600.0  # s; a wait that is longer counts as this long
+
+# --- days of the simulated region ---------------------------------------------
+DAY_MACHINES: Final = 10_000  # more take more memory and time than one run should
+DAY_TASKS: Final = 100_000  # of one job, from the protocol
+DAY_JOBS: Final = 100_000  # of one class
+DAY_FLAPS: Final = 1000  # ends of one controller in one fault
+BACK_SOON_S: Final = (0.05, 0.5)  # s; a process that ends may be back within this
+BACK_LATE_S: Final = (1.0, 6.0)  # s; or after this
--- a/src/chalkgrade/region/day.py
+++ b/src/chalkgrade/region/day.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chalkgrade import constants
 from chalkgrade.settings import (
     CloudLimits,
     SettingsError,
@@ -59,6 +60,7 @@
     at_start: int = 0
     a_minute: float = 0.0
     spot: bool = True
+    zone: str = ""  # the only one in which it may run
     stop_after_s: float | None = None  # its user aborts it so long after; services need one
 
 
@@ -68,9 +70,11 @@
     at: float
     kind: Literal[
         "crash", "roll", "freeze", "refuse", "outage", "slow", "cut", "zone", "stop", "silence",
-        "take", "sick",
+        "take", "sick", "flap",
     ]  # fmt: skip
     seconds: float = 10.0  # how long, or until a controller is back
+    times: int = 5  # of a flap: how often each of them ends
+    every: float = 3.0  # of a flap: how long a process lives on average, a third to 5/3 of it
     who: str = "leader"  # leader, others, all, or a controller's name
     count: int = 1  # controllers or machines
     zone: str = ""  # of machines, or the one that is cut off
@@ -102,7 +106,7 @@
 
 
 def _check(day: Day) -> None:
-    """What the types don't say."""
+    """What the types don't say; a region plays days up to the bounds in `constants`."""
 
     def known(field: str, value: str, allowed: Any) -> None:
         if value not in allowed:
@@ -116,6 +120,9 @@
     for field, value in (("seconds", day.seconds), ("calm_s", day.calm_s)):
         if not 0 < value <= 86400:
             raise SettingsError(f"{field}: must be over 0 and at most 86400, is {value:g}")
+    machines = sum(room.count for room in day.rooms)
+    if machines > constants.DAY_MACHINES:
+        raise SettingsError(f"rooms: at most {constants.DAY_MACHINES} machines, are {machines}")
     names = members(day)
     for number, room in enumerate(day.rooms):
         known(f"rooms[{number}].kind", room.kind, {kind.name for kind in day.kinds})
@@ -125,8 +132,16 @@
     for number, work in enumerate(day.classes):
         for team in work.teams or [""]:
             known(f"classes[{number}].teams", team, {team.name for team in day.teams})
-        if not 1 <= work.tasks[0] <= work.tasks[1]:
-            raise SettingsError(f"classes[{number}].tasks: must be two rising counts")
+        if not 1 <= work.tasks[0] <= work.tasks[1] <= constants.DAY_TASKS:
+            most = constants.DAY_TASKS
+            raise SettingsError(f"classes[{number}].tasks: must be two rising counts up to {most}")
+        jobs = work.at_start + work.a_minute * day.seconds / 60
+        if work.at_start < 0 or work.a_minute < 0 or jobs > constants.DAY_JOBS:
+            raise SettingsError(
+                f"classes[{number}].a_minute: must make 0 to {constants.DAY_JOBS} jobs"
+            )
+        if work.zone:
+            known(f"classes[{number}].zone", work.zone, set(day.zones))
         if work.shape == "service" and work.stop_after_s is None:
             raise SettingsError(f"classes[{number}].stop_after_s: a service needs an end")
     for number, fault in enumerate(day.faults):
@@ -138,8 +153,17 @@
             known(f"{where}.zone", fault.zone, set(day.zones))
         if fault.kind == "cut" and not (fault.one and fault.other):
             raise SettingsError(f"{where}.one: a cut needs two sides")
-        if fault.at < 0 or fault.seconds <= 0 or fault.count < 1:
-            raise SettingsError(f"{where}.at: times and counts must not be negative")
+        for field, least in (("at", 0.0), ("seconds", 0.05), ("count", 1), ("times", 1)):
+            if not getattr(fault, field) >= least:
+                raise SettingsError(
+                    f"{where}.{field}: must be {least:g} or more, is {getattr(fault, field):g}"
+                )
+        if fault.kind == "flap" and not 0.1 <= fault.every <= 600:
+            raise SettingsError(f"{where}.every: must be 0.1 to 600, is {fault.every:g}")
+        if fault.times > constants.DAY_FLAPS:
+            raise SettingsError(
+                f"{where}.times: must be at most {constants.DAY_FLAPS}, is {fault.times}"
+            )
 
 
 def members(day: Day) -> list[str]:
--- a/src/chalkgrade/region/fleet.py
+++ b/src/chalkgrade/region/fleet.py
@@ -6,7 +6,7 @@
 
 from chalkgrade.region.day import Day, Fault, Work, members
 from chalkgrade.region.loop import VirtualLoop
-from chalkgrade.region.rules import Broken
+from chalkgrade.region.rules import BEGAN, Broken
 from chalkgrade.region.world import World, close, wait
 from chalkgrade.state.leadership import LEADER_KEY
 
@@ -66,7 +66,7 @@
             "bundle": f"img-{work.name}-{rng.randrange(max(1, work.images))}",
             "pullGb": work.image_gb,
             "hosttypes": None,
-            "site": None,
+            "site": work.zone or None,
             "oneZone": False,
             "spread": False,
             "standby": work.spot,
@@ -112,6 +112,10 @@
             hit = set(chosen)
             for member in chosen:
                 self.spawn(self.restart(member, lasts))
+        elif fault.kind == "flap":
+            hit = set(chosen)
+            for member in chosen:
+                self.spawn(self.flap(member, fault.times, fault.every, lasts))
         elif fault.kind == "roll":
             for member in self.members:
                 if member in self.leaders():
@@ -195,7 +199,7 @@
 
 def figures(world: FleetWorld, broken: str = "") -> dict[str, Any]:
     """What a day came to: rules, served, waits in seconds, money, changes of leader."""
-    took = max(1e-9, world.now - 1000.0)
+    took = max(1e-9, world.now - BEGAN)
     waits: dict[str, list[float]] = {}
     for job in world.jobs.values():
         if "first" in job:
@@ -208,6 +212,8 @@
         "unfinished": sum(job["over"] is None for job in world.jobs.values()),
         "served_class": {key: round(v, 3) for key, v in world.served("jobclass").items()},
         "served_team": {key: round(v, 3) for key, v in world.served("owner").items()},
+        "could_class": {key: round(v, 3) for key, v in world.could("jobclass").items()},
+        "could_team": {key: round(v, 3) for key, v in world.could("owner").items()},
         "wait_s_p50": {key: round(percentile(v, 0.5), 2) for key, v in sorted(waits.items())},
         "wait_s_p95": {key: round(percentile(v, 0.95), 2) for key, v in sorted(waits.items())},
         "machines_rented": world.cloud.number,
--- a/src/chalkgrade/region/loop.py
+++ b/src/chalkgrade/region/loop.py
@@ -11,7 +11,7 @@
     """Never sleeps: waiting moves the clock."""
 
     def __init__(self) -> None:
-        self.now = 1000.0
+        self.now = 1000.0  # `rules.BEGAN`
         self._map: dict[Any, selectors.SelectorKey] = {}
 
     def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
@@ -57,6 +57,10 @@
                 handle._when = max(handle._when, until)
         heapq.heapify(self._scheduled)  # type: ignore[attr-defined]
 
+    def thaw(self, member: str) -> None:
+        """What a controller begins from now on runs; what waits already waits on."""
+        self._frozen.pop(member, None)
+
     def _until(self, context: contextvars.Context | None) -> float:
         member = MEMBER.get() if context is None else context.get(MEMBER, "")
         return self._frozen.get(member, 0.0) if self._frozen else 0.0
--- a/src/chalkgrade/region/rules.py
+++ b/src/chalkgrade/region/rules.py
@@ -8,6 +8,7 @@
 from chalkgrade.region.ground import Ground
 
 SERVED_LEAST = 0.5  # of any class's or team's jobs; below this a day counts as failed
+BEGAN = 1000.0  # s; the region's clock at its start
 SLACK = 1e-6  # CPUs; sums of fractions drift
 
 
@@ -149,11 +150,47 @@
             good[key] = good.get(key, 0) + (job["over"] == "done" or ran)
         return {key: good[key] / count for key, count in sorted(all_of.items())}
 
+    def could(self, by: str) -> dict[str, float]:
+        """What share of each `jobclass` or `owner` could be served at best, fairly: at most 1.
+
+        All machines that the cloud has, from the first second to now, without boots,
+        fetches or failures, give so many CPU-seconds; teams' maxima bound what each may
+        use of them. They are dealt out evenly, nobody getting more than was asked (tasks
+        times CPUs times the mean run time, 1.25 times the estimate), so that 1 means that
+        all was possible, and less that the day asked for more than there was.
+        """
+        lasted = self.now - BEGAN
+        sizes = {flavor["sku"]: flavor["vcpus"] for flavor in self.FLAVORS}
+        room = lasted * sum(sizes[kind] * count for (kind, _, _), count in self.ROOMS.items())
+        asked: dict[str, float] = {}
+        owners: dict[str, set[str]] = {}
+        for job in self.jobs.values():
+            spec = job["spec"]
+            run_s = 1.25 * spec["expectedS"]
+            if spec["shape"] == "service":
+                run_s = (job.get("over_at") or self.now) - job["at"]
+            elif job.get("asked"):
+                continue  # as in `served`
+            key = spec[by]
+            asked[key] = asked.get(key, 0.0) + spec["tasks"] * spec["vcpus"] * run_s
+            owners.setdefault(key, set()).add(spec["owner"])
+        out: dict[str, float] = {}
+        for number, key in enumerate(sorted(asked, key=asked.__getitem__)):
+            part = min(asked[key], room / (len(asked) - number))
+            most = [self._teams[owner].cpus_max for owner in owners[key]]
+            if all(most):
+                part = min(part, lasted * sum(most))
+            room -= part
+            out[key] = part / asked[key] if asked[key] else 1.0
+        return out
+
     def unserved(self) -> list[str]:
-        """Classes and teams of which less than half was served: the day fails."""
-        return [
-            f"{word} {key} {share:.2f}"
-            for by, word in (("jobclass", "class"), ("owner", "team"))
-            for key, share in self.served(by).items()
-            if share < SERVED_LEAST
-        ]
+        """Classes and teams of which less than half of what could be was served: it fails."""
+        out = []
+        for by, word in (("jobclass", "class"), ("owner", "team")):
+            could = self.could(by)
+            for key, share in self.served(by).items():
+                if share < SERVED_LEAST * could[key]:
+                    most = f" of {could[key]:.2f}" if could[key] < 1 else ""
+                    out.append(f"{word} {key} {share:.2f}{most}")
+        return out
--- a/src/chalkgrade/region/store.py
+++ b/src/chalkgrade/region/store.py
@@ -135,8 +135,8 @@
         key = parts.path.removeprefix("/kv/")
         if key not in self.keys:
             return 404, {"ledgerRev": self.rev}
-        value, stamp, _ = self.keys[key]
-        return 200, {"k": key, "v": value, "stamp": stamp}
+        value, stamp, permit = self.keys[key]
+        return 200, {"k": key, "v": value, "stamp": stamp, "permit": permit}
 
     def _commit(self, data: dict[str, Any]) -> tuple[int, Any]:
         assert len(data["if"]) <= 4 * self.world.settings.cluster.state.txn_ops
--- a/src/chalkgrade/region/troubles.py
+++ b/src/chalkgrade/region/troubles.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+from chalkgrade import constants
 from chalkgrade.region.cloud import Cloud
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.store import Store
@@ -13,13 +14,14 @@
 class Troubles(Users):
     """Crashes, cuts, silences and outages over a region's controllers, machines and services."""
 
-    KINDS = 16  # of trouble that are drawn
+    KINDS = 17  # of trouble that are drawn
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self.store, self.cloud = Store(self), Cloud(self)
         self.workers: dict[str, Worker] = self.cloud.workers
         self.storm_until = 0.0
+        self.flapped_until = 0.0  # when a process of a loop of crashes was last started
 
     def leaders(self) -> list[str]:
         """Who holds the lead by its own word."""
@@ -39,6 +41,18 @@
         if not self.up(member):
             self.boot(member)
 
+    async def flap(self, member: str, times: int, every: float, after: float) -> None:
+        """A loop of crashes: each process lives for a third to 5/3 of `every`; all in s."""
+        for _ in range(times):
+            await self.restart(member, after)
+            self.flapped_until = self.now
+            await asyncio.sleep(every * self.rng.uniform(1 / 3, 5 / 3))
+
+    def back(self) -> float:
+        """After how long a process that ended is back: at once or after a while; s."""
+        soon = self.rng.random() < 0.5
+        return self.rng.uniform(*(constants.BACK_SOON_S if soon else constants.BACK_LATE_S))
+
     # -- drawn ----------------------------------------------------------------------
 
     async def troubles(self, until: float) -> None:
@@ -53,10 +67,10 @@
         workers = sorted(self.workers)
         hold = rng.random() < 0.5
         if kind == 0:
-            self.spawn(self.restart(member, rng.uniform(1, 6)))
+            self.spawn(self.restart(member, self.back()))
         elif kind == 1:
             for name in nodes:
-                self.spawn(self.restart(name, rng.uniform(1, 6)))
+                self.spawn(self.restart(name, self.back()))
         elif kind == 2:
             self.store.outage(seconds)
         elif kind == 3:
@@ -101,6 +115,9 @@
             )
         elif kind == 15:
             self.store.slow = (rng.choice([0.02, 0.075, 0.3]), self.now + seconds * 2)
+        elif kind == 16:
+            for name in rng.sample(nodes, rng.randint(1, len(nodes))):
+                self.spawn(self.flap(name, rng.randint(2, 6), 3.0, self.back()))
 
     async def _storm(self) -> None:
         """A user who asks many times as often, for known and unknown jobs."""
--- a/src/chalkgrade/region/world.py
+++ b/src/chalkgrade/region/world.py
@@ -76,12 +76,14 @@
     def leaders(self) -> list[str]:
         return [m for m, node in self.nodes.items() if node is not None and node.leadership.token]
 
-    def boot(self, member: str) -> None:
+    def boot(self, member: str, home: str | None = None) -> None:
+        """Start a process of that name, on the controller's own machine if not said."""
+        home = f"home of {member}" if home is None else home
         clock = Clock(self.loop, 1 + self.rng.uniform(-5e-4, 5e-4))
         http = _Http(self, member, self.epochs[member])
         settings = self._settings(member)
         settings.parts = self.parts
-        node = Node(settings, http, http, clock, random.Random(self.rng.random()))
+        node = Node(settings, http, http, clock, random.Random(self.rng.random()), home)
         plain = node.views.changed
 
         def changed(subject: str, old: str, new: str) -> None:
@@ -104,6 +106,7 @@
         if node is None:
             return
         self.epochs[member] += 1
+        self.loop.thaw(member)  # the next process runs, however long this one would have stood
         self.last_nodes.append(node)
         node.stop()
         self.nodes[member] = None
