Connections by the sockets that the platform allows, in a stated order

Cause: bounds of connections were counts that fitted 593 machines; at three times the fleet 1,779 workers each kept one of 1,532 sockets, and all controllers ran out of them.

Change: all bounds are parts of cluster.quota.sockets. What gives way: who does not finish a request, users that ask nothing, crowds of unknown ones; submissions are refused before questions, aborts last, reports never.

--- a/src/chalkgrade/serving/server.py
+++ b/src/chalkgrade/serving/server.py
@@ -8,7 +8,7 @@
 
 from chalkgrade import constants
 from chalkgrade.outside import encode
-from chalkgrade.serving.guard import Guard
+from chalkgrade.serving.guard import Guard, Use
 from chalkgrade.serving.metrics import metrics
 from chalkgrade.serving.node import Node
 
@@ -35,6 +35,17 @@
         super().connection_lost(exc)
 
 
+def _use(method: str, path: str) -> Use:
+    """What a request is for."""
+    if path == "/hello":
+        return Use.REPORT
+    if not path.startswith("/v2/"):
+        return Use.HEALTH
+    if method == "POST":
+        return Use.ABORT if path.endswith("/abort") else Use.SUBMISSION
+    return Use.QUESTION
+
+
 def _abort(connection: web.RequestHandler) -> None:
     transport = connection.transport
     if transport is not None:
@@ -46,7 +57,8 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
-        self.guard: Guard[web.RequestHandler] = Guard(node.clock, _abort)
+        sockets = node.settings.cluster.quota.sockets
+        self.guard: Guard[web.RequestHandler] = Guard(node.clock, _abort, sockets)
         self._web = web.Server(self.handle, access_log=None)
         self._loop = asyncio.get_running_loop()
 
@@ -89,7 +101,7 @@
     ) -> web.StreamResponse:
         path = request.path
         if path == "/metrics":
-            self.guard.begun(connection, user=False)
+            self.guard.begun(connection, Use.HEALTH)
             return web.Response(body=metrics(self._node), content_type="text/plain")
         try:
             body = await request.read() if request.body_exists else b""
@@ -100,7 +112,7 @@
             # traceback for each would fill the log (found by trying: 67 a second).
             self.guard.broke_off()
             return self._respond(path, 400, {"error": "body incomplete"}, close=True)
-        if not self.guard.begun(connection, user=path.startswith("/v2/")):
+        if not self.guard.begun(connection, _use(request.method, path)):
             return self._respond(path, 503, {"error": "too many requests at once"}, close=True)
         if len(body) > constants.BODY_MAX:
             return self._respond(path, 400, {"error": "body over 64 KiB"})
@@ -115,6 +127,10 @@
         self, path: str, status: int, answer: dict[str, Any], close: bool = False
     ) -> web.Response:
         headers = {}
+        # Workers and users come back on a new connection when they next have something to
+        # say: that way more of them than there are sockets are served (found at three times
+        # the fleet: 1,779 workers, each keeping one of 1,532).
+        close = close or self.guard.crowded()
         if status == 503:
             headers["Retry-After"] = str(constants.RETRY_AFTER_S)
             # The next try of a user may reach a better placed node.
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -24,7 +24,7 @@
 from chalkgrade.region.store import Store
 from chalkgrade.serving.client import HttpClient
 from chalkgrade.serving.daemon import Daemon
-from chalkgrade.serving.guard import Guard, State
+from chalkgrade.serving.guard import BUSY_MOST, Guard, State, Use
 from chalkgrade.settings import Settings
 
 HANG_S = 20.0  # far beyond what anything here takes: only against a test that never ends
@@ -241,7 +241,8 @@
 
             for start in range(0, 2000, 100):
                 await asyncio.gather(*(half(number) for number in range(start, start + 100)))
-                assert leader.server.guard.number(State.UNFINISHED) <= constants.UNFINISHED_MAX
+                guard = leader.server.guard
+                assert guard.number(State.UNFINISHED) <= guard.unfinished_max
                 for path, body in (("/up", None), ("/hello", _hello(f"host-{start:06d}"))):
                     method = "GET" if body is None else "POST"
                     reply = await client.call(leader.settings.bind, method, path, body, 9.0)
@@ -268,7 +269,7 @@
     for seed in range(20):
         rng, clock = random.Random(seed), HandClock()
         ended: list[int] = []
-        guard: Guard[int] = Guard(clock, ended.append)
+        guard: Guard[int] = Guard(clock, ended.append, 1200)
         alive: dict[int, str] = {}  # connection -> what it does, and for whom
         for step in range(4000):
             clock.at += rng.choice([0.0, 0.0, 0.001, 0.3 if rng.random() < 0.02 else 0.0])
@@ -277,10 +278,9 @@
                 alive[step] = "half"
                 guard.opened(step)
             elif alive[key] == "half" and rng.random() < 0.3:
-                user = rng.random() < 0.8
-                taken = guard.begun(key, user)
-                assert taken or user
-                alive[key] = "busy user" if user else "busy worker"
+                use = rng.choice([*Use][1:])
+                assert guard.begun(key, use) or use in BUSY_MOST
+                alive[key] = "busy user" if use in BUSY_MOST else "busy worker"
             elif alive[key].startswith("busy"):
                 alive[key] = alive[key].replace("busy", "idle")
                 guard.done(key)
@@ -296,5 +296,93 @@
             for gone in ended:
                 assert alive.pop(gone) in ("half", "idle user")
             ended.clear()
-            assert guard.number(State.UNFINISHED) <= constants.UNFINISHED_MAX
-            assert len(guard) == len(alive)
+            assert guard.number(State.UNFINISHED) <= guard.unfinished_max
+            assert len(guard) == len(alive) <= guard.room
+
+
+class _Crowd:
+    """Connections to one guard, each of which does what its kind does."""
+
+    def __init__(self, sockets: int) -> None:
+        self.clock = HandClock()
+        self.guard: Guard[int] = Guard(self.clock, self._ended, sockets)
+        self.uses: dict[int, Use] = {}
+        self.ended: list[Use] = []
+        self.number = 0
+
+    def _ended(self, key: int) -> None:
+        self.ended.append(self.uses.pop(key))
+
+    def open(self, use: Use) -> int:
+        self.number += 1
+        self.uses[self.number] = use
+        self.guard.opened(self.number)
+        return self.number
+
+    def ask(self, key: int) -> bool:
+        if key not in self.uses:
+            return False
+        self.guard.received(key)
+        if self.guard.begun(key, self.uses[key]):
+            return True
+        self.guard.closed(key)  # refused, and closed by the answer
+        del self.uses[key]
+        return False
+
+
+@pytest.mark.parametrize("storm", [Use.UNKNOWN, Use.SUBMISSION, Use.QUESTION])
+def test_a_storm_of_2000_connections_leaves_900_workers_theirs(storm: Use) -> None:
+    """Workers keep or get connections, and are answered; submissions give way first."""
+    crowd = _Crowd(1532)
+    guard = crowd.guard
+    workers = [crowd.open(Use.REPORT) for _ in range(900)]
+    assert all(crowd.ask(key) for key in workers)  # all come back at once
+    for key in workers:
+        guard.done(key)
+    refused = 0
+    for number in range(2000):
+        crowd.clock.at += 0.0005
+        key = crowd.open(storm)
+        if storm is not Use.UNKNOWN:
+            refused += not crowd.ask(key)
+        if number % 100 == 50:
+            for use in (Use.REPORT, Use.ABORT, Use.HEALTH):
+                key = crowd.open(use)
+                assert crowd.ask(key), use
+                guard.done(key)
+            assert crowd.ask(workers[number // 3])
+            guard.done(workers[number // 3])
+        assert len(guard) <= guard.room
+    assert Use.REPORT not in crowd.ended
+    if storm is not Use.UNKNOWN:
+        assert refused == 2000 - BUSY_MOST[storm]
+
+
+def test_submissions_are_refused_before_questions_and_aborts_last() -> None:
+    crowd = _Crowd(1532)
+    first: dict[Use, int] = {}
+    for number in range(2000):
+        use = [Use.SUBMISSION, Use.QUESTION, Use.ABORT, Use.REPORT][number % 4]
+        if not crowd.ask(crowd.open(use)):
+            first.setdefault(use, number)
+    assert first[Use.SUBMISSION] < first[Use.QUESTION] < first[Use.ABORT]
+    assert Use.REPORT not in first or first[Use.REPORT] > first[Use.ABORT]
+
+
+def test_more_workers_than_sockets_share_them() -> None:
+    """Found at three times the fleet: 1,779 workers, each keeping one of 1,532 sockets."""
+    crowd = _Crowd(1532)
+    guard, there = crowd.guard, dict[int, int]()
+    answered = 0
+    for _ in range(3):
+        for worker in range(1779):
+            crowd.clock.at += 5.0 / 1779
+            if there.get(worker) not in crowd.uses:
+                there[worker] = crowd.open(Use.REPORT)
+            answered += crowd.ask(there[worker])
+            guard.done(there[worker])
+            if guard.crowded():
+                guard.closed(there[worker])
+                crowd.uses.pop(there[worker])
+            assert len(guard) <= guard.room
+    assert answered == 3 * 1779 and not crowd.ended
