Who has waited for 20 s gets half of its fair share, whatever the urgency of others

Change: queues whose oldest job waits for over 20 s are served right after the guarantees, up to half of what step 6 over the whole capacity gives them; machines are kept for their wide tasks, a twentieth at most. Nothing is stopped. Stateless: the oldest job's time is durable.

--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -22,7 +22,7 @@
 from chalkgrade.sharing.floor import Floor
 from chalkgrade.sharing.gates import NO_LIMIT, KeptRoom, Maxima, Pauses, Zones
 from chalkgrade.sharing.queues import Queues
-from chalkgrade.sharing.shares import allocate, spare_order
+from chalkgrade.sharing.shares import Demand, allocate, fair_shares, spare_order
 from chalkgrade.sharing.stops import MakingRoom
 from chalkgrade.vectors import ZERO, Vector, dominant, fits, minus, plus
 
@@ -94,6 +94,7 @@
             jobs.sort(key=self.queues.order)
         placed += self._fill_guarantees(ready)
         demands = self.demands.of(ready)
+        placed += self._fill_starving(ready, demands, capacity)
         first, rest = allocate(list(demands.values()), capacity)
         for _, group in itertools.groupby(first, key=lambda entry: demands[entry[0]].urgency):
             # What bounds need, shortest remaining first: in an overload, parts of all
@@ -164,6 +165,45 @@
         self.making.guaranteed = False
         return placed
 
+    def _fill_starving(
+        self, ready: dict[str, list[Job]], demands: dict[str, Demand], capacity: Vector
+    ) -> int:
+        """Who has waited for long gets half of its fair share, whatever the urgency of others.
+
+        Step 6's fairness is over the long term, but what goes before it may last: urgent
+        work by the thousands, or narrow tasks that take each CPU before a whole machine is
+        free. Long is by the time of the oldest job, which is durable, so that a change of
+        leader forgets nothing. Nothing is stopped for it; room that frees up is kept.
+        """
+        wall = self.queues.clock.wall()
+        oldest = {
+            queue: min((j.at for j in jobs if j.startable), default=wall)
+            for queue, jobs in ready.items()
+        }
+        late = [queue for queue, at in oldest.items() if wall - at > constants.STARVE_S]
+        if not late:
+            return 0
+        placed, given = 0, ZERO
+        most = tuple(constants.STARVE_MOST * a for a in capacity)
+        fair = fair_shares(demands.values(), self.teams, capacity)
+        for queue in sorted(late, key=oldest.__getitem__):
+            # A share below one task would never start anything: round up to one.
+            half = tuple(map(max, (a / 2 for a in fair[queue]), demands[queue].task))
+            budget: Vector | None = minus(half, self.held[queue])
+            given = plus(given, half)
+            if not fits(given, most):
+                break
+            for job in sorted(ready[queue], key=lambda job: job.at):
+                count, budget = self._place_all([job], budget, False)
+                placed += count
+                assert budget is not None
+                if job.startable and fits(job.spec.room, budget):
+                    rooms = zip(budget, job.spec.room, strict=True)
+                    count = min(int(left / want) for left, want in rooms if want > 0)
+                    self.making.keep(job, count, constants.STARVE_KEEP)
+                    break
+        return placed
+
     def _place_first(self) -> int:
         """What a gate has a machine for, as far as the other gates let it start."""
         wanted, placed = self.gates.first(), 0
--- a/src/chalkgrade/sharing/shares.py
+++ b/src/chalkgrade/sharing/shares.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from chalkgrade import constants
+from chalkgrade.settings import Team
 from chalkgrade.vectors import EPS, Vector, dominant, fits, minus, plus
 
 
@@ -126,6 +127,27 @@
     return given
 
 
+def fair_shares(
+    demands: Iterable[Demand], teams: dict[str, Team], capacity: Vector
+) -> dict[str, Vector]:
+    """What each queue's share of all would be over the long term, by its team's guarantee.
+
+    Dominant resource fairness with weights: a team's guarantee, and beside it the same small
+    part of the capacity for every team, so that none counts for nothing; a team's queues
+    share its weight evenly.
+    """
+    demands = list(demands)
+    queues: dict[str, int] = {}
+    for demand in demands:
+        queues[demand.team] = queues.get(demand.team, 0) + 1
+    weights: dict[str, float] = {}
+    for name, count in queues.items():
+        team = teams.get(name)
+        held = dominant((team.cpus, team.gpus, 0.0), capacity) if team is not None else 0.0
+        weights[name] = (held + constants.FAIR_LEAST / len(queues)) / count
+    return drf({d.queue: (d.task, d.wants, weights[d.team]) for d in demands}, capacity, capacity)
+
+
 Grants = list[tuple[str, Vector]]
 
 
--- a/src/chalkgrade/sharing/stops.py
+++ b/src/chalkgrade/sharing/stops.py
@@ -106,26 +106,35 @@
         machine or more waits for ever. Urgent work that would come too late
         stops less urgent work where that loses least.
         """
+        waits = self.keep(job, job.startable, constants.RESERVE_PART)
+        zones = self.gates.sites(job, self.floor.zones)
+        late = max(constants.PREEMPT_WAIT_S, self.queues.slack(job))
+        work = self.worth(job)
+        for wait in waits:
+            if wait > late and not self._make_room(job, zones, False, work):
+                return
+
+    def keep(self, job: Job, count: int, part: float) -> list[float]:
+        """Keep the machines that have room soonest for so many tasks; when they will have.
+
+        No more machines than a part of all are kept, for whomever.
+        """
         spec = job.spec
         if not any(fits(room, spec.room) and room != spec.room for room in self.rooms):
-            return  # nothing smaller waits: whatever frees up is as good for this job
+            return []  # nothing smaller waits: whatever frees up is as good for this job
         zones = self.gates.sites(job, self.floor.zones)
         every = len(self.floor.slots) + len(self.floor.full)
-        most = max(1, int(every * constants.RESERVE_PART)) - self.kept.count
-        most = self.gates.able(job, min(job.startable, most))
-        chosen: list[float] = []
+        most = max(1, int(every * part)) - self.kept.count
+        most = self.gates.able(job, min(count, most))
+        waits: list[float] = []
         for wait, _, slot in self.floor.fitting(spec):
-            if len(chosen) >= most:
+            if len(waits) >= most:
                 break
             # What was placed there in this round is not in its wait: it is not soon free.
             if not slot.kept_for and slot.site in zones and not slot.touched:
-                chosen.append(wait)
+                waits.append(wait)
                 self.kept.keep(job, slot)
-        late = max(constants.PREEMPT_WAIT_S, self.queues.slack(job))
-        work = self.worth(job)
-        for wait in chosen:
-            if wait > late and not self._make_room(job, zones, False, work):
-                return
+        return waits
 
     def return_borrowed(self, jobs: list[Job]) -> None:
         """Guaranteed work behind what its next bound needs gets back what guests hold.
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,7 +3,17 @@
 import pytest
 
 from chalkgrade import constants
-from chalkgrade.sharing.shares import Declaration, Demand, Kind, admit, allocate, drf
+from chalkgrade.settings import Team
+from chalkgrade.sharing.shares import (
+    Declaration,
+    Demand,
+    Kind,
+    admit,
+    allocate,
+    drf,
+    fair_shares,
+)
+from chalkgrade.vectors import ZERO
 
 CAPACITY = (100.0, 0.0, 200.0)
 
@@ -133,3 +143,25 @@
     assert given["c"][0] == 7.0
     assert sum(amount[0] for amount in given.values()) == pytest.approx(5000.0, abs=4)
     assert abs(given["a"][0] - given["b"][0]) <= 2 * constants.DRF_STEP * total[0]
+
+
+def test_fair_shares_follow_guarantees_and_leave_nobody_without() -> None:
+    """Long-term shares: by guarantee, a tenth evenly, a team's queues alike, wants respected."""
+    capacity = (100.0, 0.0, 400.0)
+    teams = {"red": Team("red", 60.0), "blue": Team("blue", 30.0), "green": Team("green")}
+
+    def demand(queue: str, wants: float) -> Demand:
+        task = (1.0, 0.0, 1.0)
+        most = (wants, 0.0, wants)
+        return Demand(queue, queue.split("/")[0], Kind.ELASTIC, task, most, ZERO, 0.0, held=ZERO)
+
+    queues = ["red/a", "red/b", "blue/a", "green/a"]
+    given = fair_shares([demand(queue, 100.0) for queue in queues], teams, capacity)
+    cpus = {queue: amount[0] for queue, amount in given.items()}
+    assert sum(cpus.values()) == pytest.approx(100.0)
+    assert cpus["red/a"] == pytest.approx(cpus["red/b"], abs=1.0)
+    assert cpus["red/a"] + cpus["red/b"] == pytest.approx(63.3, abs=2.0)
+    assert cpus["blue/a"] == pytest.approx(33.3, abs=2.0)
+    assert cpus["green/a"] == pytest.approx(3.3, abs=1.0)
+    small = fair_shares([demand("red/a", 5.0), demand("green/a", 100.0)], teams, capacity)
+    assert small["red/a"][0] == 5.0 and small["green/a"][0] == pytest.approx(95.0)
