A left-over lease is ended once, then its end is watched for

Cause: read again at once, a key that a service keeps for a moment would be read as fast as the budget of requests allows. Change: the watch tells of its end.

--- a/src/chalkgrade/state/leadership.py
+++ b/src/chalkgrade/state/leadership.py
@@ -132,7 +132,6 @@
                 if ours is None and row.permit is not None and self._left_over(row):
                     log.info("token %d is left over: ending its lease", row.stamp)
                     await self._ledger.end(row.permit)
-                    continue
                 ours = ours or await self._follow(row.stamp)
                 if ours is not None:
                     await self._begin(*ours)
