The floor is for who holds next to nothing, in the order of the queue

Parts of all jobs end none, and images are fetched everywhere.

Change: after 30 s, only for queues that hold less than half of their floor, within the queue's own order and near images first; a quarter of the capacity counts evenly beside the guarantees, so that a guest's floor holds two whole machines in the test's fleet of 48.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -11,12 +11,11 @@
 ROUND_S: Final = 1.0  # s; longest time between two scheduling rounds, the design's trial value
 ROUND_MIN_S: Final = 0.15  # s; shortest gap between rounds, so bursts of reports share one round
 DRF_STEP: Final = 0.005  # of the cluster, that the least served gets at once in step 6
-STARVE_S: Final = 20.0  # s; a queue whose oldest job waits longer gets half of its fair share
+STARVE_S: Final = 30.0  # s; a queue whose oldest job waits longer gets half of its fair share
+STARVE_BELOW: Final = 0.5  # of that half: who holds more is served, if slowly, and left alone
 STARVE_MOST: Final = 0.5  # of the capacity, that such queues get before others
 STARVE_KEEP: Final = 0.05  # of the machines, kept for tasks of theirs that need much of one
-FAIR_LEAST: Final = (
-    0.1  # of the capacity, that all teams' shares are counted from beside guarantees
-)
+FAIR_LEAST: Final = 0.25  # of the capacity, evenly to all teams beside their guarantees
 ROUND_REST: Final = 4.0  # times what a round took: at least so long is left for other work
 ESTIMATE_ALPHA: Final = 0.3  # weight of a new observation in the run-time correction of a class
 CORRECTION_MIN: Final = 0.3  # lower bound of that correction: estimates are off by half, not by 10x
