--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -226,8 +226,7 @@
         leader = _leader(world)
         assert leader is not None
         world.store.rev += 1_000_000
-        took, leader = await _restarted(world, [leader.settings.member])
-        del took
+        _, leader = await _restarted(world, [leader.settings.member])
         await asyncio.sleep(3.0)
         lead = leader.settings.member
         member = next(m for m in world.members if m != lead)
