--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -191,7 +191,7 @@
 FINAL_CACHE: Final = 20_000  # final states kept in memory on each node
 RETRY_AFTER_S: Final = 1  # s; what a user is told when nothing can be decided
 # Parts of the sockets that the platform allows, so that they fit a fleet of any size.
-SOCKETS_LEAST: Final = 256  # fewer can't be worked with
+SOCKETS_LEAST: Final = 32  # a controller with fewer can't be told apart from a mistake
 SOCKETS_OUT: Final = 0.12  # kept for controllers, state service, cloud; 184 of 1,532
 CROWDED_PART: Final = 0.85  # of the rest, above which answers close their connections
 UNFINISHED_PART: Final = 0.7  # of the rest, without a whole request: 943 of 1,348, as a fleet of
--- a/tests/test_settings_and_users.py
+++ b/tests/test_settings_and_users.py
@@ -57,6 +57,11 @@
             "s.toml:11: cluster.workers.cancel_s: must be over",
         ),
         ("cpus_max = 8.0", "cpus_max = -1.0", "s.toml:14: cluster.teams[0].cpus_max: must not be"),
+        (
+            "[[cluster.teams]]",
+            "[cluster.quota]\nsockets = 8\n[[cluster.teams]]",
+            "s.toml:13: cluster.quota.sockets: must be over 31, is 8",
+        ),
         ("[endpoints]", "[endpoints", "s.toml:6: not TOML"),
     ],
 )
