--- a/src/chalkgrade/serving/node.py
+++ b/src/chalkgrade/serving/node.py
@@ -254,7 +254,8 @@
 
         mine = self.word()
         words = [w for w in self.views.fresh() if self.views.state(w.member) == ALIVE]
-        better = sum(placed(word) < placed(mine) and not word.aside for word in words)
+        own = placed(mine)
+        better = sum(placed(word) < own and not word.aside for word in words)
         # Who has just started has not heard of all yet: it takes them for better placed.
         unheard = sum(view.word is None for view in self.views.of.values())
         return better + unheard * mine.young
--- a/src/chalkgrade/state/leadership.py
+++ b/src/chalkgrade/state/leadership.py
@@ -129,7 +129,8 @@
                     await self._campaign()
                     continue
                 ours = self._note(row)
-                if ours is None and row.permit is not None and self._left_over(row):
+                value = msgspec.json.decode(row.v, type=LeaderValue)
+                if ours is None and row.permit is not None and self._left_over(value):
                     log.info("token %d is left over: ending its lease", row.stamp)
                     await self._ledger.end(row.permit)
                 ours = ours or await self._follow(row.stamp)
@@ -146,14 +147,14 @@
         self.heard(row.stamp)
         offer = self._offer
         if offer is None or value.nonce != offer.nonce:
-            self.know(None if self._left_over(row) else value.member)
+            self.know(None if self._left_over(value) else value.member)
             return None
         self.know(value.member)
         self._offer = None
         self._ttl_s = offer.lease_s
         return row.stamp, offer.permit, offer.begun
 
-    def _left_over(self, row: Row) -> bool:
+    def _left_over(self, value: LeaderValue) -> bool:
         """Whether the key is in our name, and surely nobody acts or will act under it.
 
         Asked only while we neither lead nor are about to: a key with a nonce of this
@@ -163,7 +164,6 @@
         starting. Without this a controller that is back at once waits for the end of its
         own lease, and everybody with it.
         """
-        value = msgspec.json.decode(row.v, type=LeaderValue)
         own = value.nonce.startswith(self._mark)
         return value.member == self.member and (own or bool(self.home) and value.home == self.home)
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -148,9 +148,8 @@
     """Whoever has the name ends the lease, wherever the other process runs."""
     plain = Leadership._left_over
 
-    def left_over(self: Leadership, row: Any) -> bool:
-        value = msgspec.json.decode(row.v)
-        return bool(value["member"] == self.member) or plain(self, row)
+    def left_over(self: Leadership, value: Any) -> bool:
+        return bool(value.member == self.member) or plain(self, value)
 
     patch.setattr(Leadership, "_left_over", left_over)
 
