The gap: one owner of how long workers are kept, what may be durable counts, conditions in one place

Parts of long lists of names were written without any condition. Change. state/shelter.py is the one place that knows until when every cancellation is known and until when workers are kept; its docstring is the proof. Book.abort stops what runs at once. record/conditions.py lists what each commit is conditioned on; the region's state service refuses what lacks it. Experiments: gap, meetings. A log line and a metric say how long workers are kept on.

--- a/src/chalkgrade/cli.py
+++ b/src/chalkgrade/cli.py
@@ -145,7 +145,10 @@
 
 @main.command()
 @click.argument(
-    "name", type=click.Choice(["failover", "growth", "licences", "moves", "pipelines", "troubles"])
+    "name",
+    type=click.Choice(
+        ["failover", "gap", "growth", "licences", "meetings", "moves", "pipelines", "troubles"]
+    ),
 )
 @click.option("--seed", default=1, show_default=True, help="Of all that is drawn.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object instead of lines.")
--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -33,7 +33,7 @@
 from chalkgrade.seams.parts import Loop, Part, Sample, by_label
 from chalkgrade.sharing.domain import Domain
 from chalkgrade.sharing.queues import Queues
-from chalkgrade.state.ledger import NotExecuted
+from chalkgrade.state.ledger import Conflict, NotExecuted
 from chalkgrade.state.office import Office
 
 log = logging.getLogger("chalkgrade.term")
@@ -193,7 +193,10 @@
             raise Unavailable
         value = JobValue(spec, self.clock.wall())
         if spec.waitsOn is not None:
-            value = await apart.keep(self.office.ledger, value)
+            try:
+                value = await apart.keep(self.office.ledger, value)
+            except Conflict:
+                return False  # it is over
         return await self.book.admit(value, constants.PEER_TIMEOUT_S)
 
     async def abort(self, name: str) -> str | None:
--- a/src/chalkgrade/machines/fleet.py
+++ b/src/chalkgrade/machines/fleet.py
@@ -275,7 +275,7 @@
             out.append({"order": "kill", "task": task, "try": number, "graceS": 0})
         elif attempt.kill_at is not None:
             spec = attempt.job.spec
-            saves = spec.savepointS > 0 and not attempt.job.aborted
+            saves = spec.savepointS > 0 and not attempt.job.cancelled
             late = clock.now() - attempt.kill_at > constants.KILL_GRACE_S + spec.flushS
             if entry.status == "saving" and saves and not late:
                 continue
@@ -286,7 +286,7 @@
         for (task, number), attempt in machine.attempts.items():
             if (task, number) in machine.tasks or attempt.kill_at is not None:
                 continue
-            if attempt.job.aborted or attempt.job.aborting or not attempt.durable:
+            if attempt.job.cancelled or not attempt.durable:
                 continue
             attempt.sent = (machine.tenure, machine.seq)
             machine.hearing.launched.add((task, number))
--- a/src/chalkgrade/record/apart.py
+++ b/src/chalkgrade/record/apart.py
@@ -12,7 +12,7 @@
 
 from chalkgrade import constants
 from chalkgrade.outside import NoAnswer, encode
-from chalkgrade.record.jobs import NEED_PREFIX, JobValue, alone
+from chalkgrade.record.jobs import END_PREFIX, NEED_PREFIX, JobValue, alone
 from chalkgrade.state.ledger import Ledger
 
 
@@ -40,7 +40,11 @@
 
 
 async def keep(ledger: Ledger, value: JobValue) -> JobValue:
-    """Have the list kept apart if the record would be too long; may raise as a commit does."""
+    """Have the list kept apart if the record would be too long; may raise as a commit does.
+
+    Conflict: the job is over. Without that condition a late copy would leave parts behind that
+    nobody removes (see `conditions`).
+    """
     room = ledger.limits.value_b
     if len(encode(value)) <= room - constants.RECORD_SPARE_B // 2:
         return value
@@ -60,7 +64,7 @@
     # A commit as a whole is bounded too: most values of the size allowed fit, not all.
     most = max(1, min(ledger.limits.txn_ops, constants.COMMIT_MAX_B // (2 * room)))
     for begin in range(0, len(writes), most):
-        await ledger.commit({}, writes[begin : begin + most])
+        await ledger.commit({END_PREFIX + value.spec.nameId: 0}, writes[begin : begin + most])
     return made
 
 
--- a/src/chalkgrade/record/book.py
+++ b/src/chalkgrade/record/book.py
@@ -215,10 +215,18 @@
         return admission.result.result()
 
     def abort(self, job: Job) -> None:
-        """Have a job's abort written; nothing of it is started from now on."""
+        """Have a job's abort written; nothing of it is started from now on, what runs is stopped.
+
+        Not only once it is durable: a commit whose answer is lost may have been executed, and
+        others tell users what they read. Whoever loses the state service just then keeps the
+        workers for a while, and counts that from its lease, which may last seconds beyond such
+        a commit (found by thinking the gap through; nothing of the job is of use any more).
+        """
         if not (job.aborted or job.aborting or job.complete):
             job.aborting = True
             self.aborting.append(job)
+            for attempt in job.live.values():
+                attempt.kill_at = attempt.kill_at or self.clock.now()
         self.flush_wanted.set()
 
     def progressed(self, job: Job) -> None:
@@ -310,7 +318,8 @@
                 value = raw(owner.checkpoint(number, lsn))
                 if len(value) <= self.limits.value_b:
                     write = Write(page.key, page.stamp, value)
-                    yield Change(partial(self._page_saved, page, (name, number), lsn), [write])
+                    saved = partial(self._page_saved, page, (name, number), lsn)
+                    yield Change(saved, [write], absent=self._unended(owner, page.stamp))
                 elif flush is None and not carried:
                     carried = True  # its segments are those that another one would take
                     yield self._carry(owner, number, lsn)
@@ -322,8 +331,9 @@
                         kept.told = kept.version
                         log.warning("%s takes %d bytes: too many", kept.key, len(value))
                     continue
-                saved = partial(kept.saved, kept.version)
-                yield Change(saved, [Write(kept.key, kept.stamp, value)])
+                yield Change(
+                    partial(kept.saved, kept.version), [Write(kept.key, kept.stamp, value)]
+                )
         for batch in list(self.batches.values()):
             if batch.size > self.limits.value_b and not batch.busy:
                 change = self._lighten(batch)
@@ -390,8 +400,6 @@
             if own:
                 job.stamp = revision
             self.progressed(job)
-            for attempt in job.live.values():
-                attempt.kill_at = attempt.kill_at or self.clock.now()
             log.info(
                 "job %s: aborted with %d live attempts",
                 job.name,
@@ -402,7 +410,17 @@
 
         if batch is not None and not own:
             return Change(aborted, batch=batch, edits={job.name: value})
-        return Change(aborted, [Write(JOB_PREFIX + job.name, job.stamp, msgspec.Raw(value))])
+        write = Write(JOB_PREFIX + job.name, job.stamp, msgspec.Raw(value))
+        return Change(aborted, [write], absent=self._unended(job, job.stamp))
+
+    def _unended(self, job: Job, stamp: int) -> list[str]:
+        """What must be absent where a key of a job is made anew: its end.
+
+        Else a late copy of that commit makes the key again when the job is over: the record of
+        an aborted one would then end the lead of every leader that meets it (found in the
+        table of conditions, `record/conditions.py`).
+        """
+        return [] if stamp else [END_PREFIX + job.name]
 
     def _lighten(self, batch: Batch) -> Change | None:
         """Make a batch that is larger than new ones smaller, before it can't be any more.
@@ -457,7 +475,8 @@
             self._page_saved(page, name, lsn, revision)
             self.log.saved(flush, revision)
 
-        return Change(carried, [Write(page.key, page.stamp, raw(value)), *_log_writes(flush)])
+        writes = [Write(page.key, page.stamp, raw(value)), *_log_writes(flush)]
+        return Change(carried, writes, absent=self._unended(job, page.stamp))
 
     def _page_saved(self, page: Page, name: PageName, lsn: int, revision: int) -> None:
         page.stamp, page.upto = revision, lsn
--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -318,6 +318,11 @@
     def name(self) -> str:
         return self.spec.nameId
 
+    @property
+    def cancelled(self) -> bool:
+        """Whether its user asked for its end: nothing of it is of use any more."""
+        return self.aborted or self.aborting
+
     @property
     def group(self) -> str:
         """Its queue in a round.
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -186,7 +186,8 @@
             for admission in change.admits
             for prefix in (JOB_PREFIX, END_PREFIX)
         }
-        doubles = {key for change in changes for key in change.absent} - guards.keys()
+        absent = {key for change in changes for key in change.absent}
+        doubles = {key for key in absent if key.startswith(JOB_PREFIX)} - guards.keys()
         if not failed or not all(key in guards or key in doubles for key in failed):
             return False
         for key in failed:
--- a/src/chalkgrade/region/day.py
+++ b/src/chalkgrade/region/day.py
@@ -62,6 +62,8 @@
     spot: bool = True
     zone: str = ""  # the only one in which it may run
     stop_after_s: float | None = None  # its user aborts it so long after; services need one
+    cancelled: float = 0.0  # share whose users abort them, at a time that is drawn
+    cancel_s: tuple[float, float] = (5.0, 60.0)  # after their submission
 
 
 class Fault(msgspec.Struct, forbid_unknown_fields=True):
@@ -71,12 +73,13 @@
     kind: Literal[
         "crash", "roll", "freeze", "refuse", "outage", "slow", "cut", "zone", "stop", "silence",
         "take", "sick", "flap", "deaf", "copies", "isolate", "election", "limits",
+        "late_writes", "hang",
     ]  # fmt: skip
     seconds: float = 10.0  # how long, or until a controller is back
     times: int = 5  # of a flap: how often each of them ends; of an election: how many restarts
     every: float = 3.0  # of a flap: how long a process lives on average, a third to 5/3 of it
-    share: float = 0.3  # of reports that are copied
-    late: tuple[float, float] = (2.0, 40.0)  # s; how late the copies come
+    share: float = 0.3  # of reports that are copied, of transactions that get no answer
+    late: tuple[float, float] = (2.0, 40.0)  # s; how late the copies come, or are carried out
     who: str = "leader"  # leader, others, all, or a controller's name
     count: int = 1  # controllers or machines
     zone: str = ""  # of machines, or the one that is cut off
@@ -161,6 +164,12 @@
             raise SettingsError(
                 f"classes[{number}].a_minute: must make 0 to {constants.DAY_JOBS} jobs"
             )
+        if not 0 <= work.cancelled <= 1:
+            raise SettingsError(
+                f"classes[{number}].cancelled: must be 0 to 1, is {work.cancelled:g}"
+            )
+        if not 0 <= work.cancel_s[0] <= work.cancel_s[1] <= 86400:
+            raise SettingsError(f"classes[{number}].cancel_s: must be two rising times")
         if work.zone:
             known(f"classes[{number}].zone", work.zone, set(day.zones))
         if work.shape == "service" and work.stop_after_s is None:
--- a/src/chalkgrade/region/fleet.py
+++ b/src/chalkgrade/region/fleet.py
@@ -95,7 +95,8 @@
         names = sorted(n for n, worker in self.workers.items() if not zone or worker.zone == zone)
         return self.rng.sample(names, min(count, len(names)))
 
-    def side(self, words: list[str]) -> set[str]:
+    def side(self, words: list[str], count: int = 1) -> set[str]:
+        """Who is on a side of a cut; `count`: how many of the others."""
         out: set[str] = set()
         for word in words:
             if word == "machines":
@@ -103,7 +104,7 @@
             elif word in ("state", "cloud", "users"):
                 out.add(word)
             else:
-                out |= set(self.controllers(word, 1))
+                out |= set(self.controllers(word, count if word == "others" else 1))
         return out
 
     async def fault(self, fault: Fault) -> None:
@@ -137,7 +138,7 @@
         elif fault.kind == "slow":
             self.store.slow = (0.075 * fault.count, self.now + lasts)
         elif fault.kind == "cut":
-            one, other = self.side(fault.one), self.side(fault.other)
+            one, other = self.side(fault.one, fault.count), self.side(fault.other, fault.count)
             hit = (one | other) & set(self.members) if "state" in one | other else set()
             self.cut(one, other, lasts, fault.hold, fault.one_way)
         elif fault.kind == "zone":
@@ -159,6 +160,11 @@
             self.deafen(set(self.machines(fault.zone, fault.count)), lasts)
         elif fault.kind == "copies":
             self.copies = (self.now + lasts, fault.share, fault.late)
+        elif fault.kind == "late_writes":
+            self.store.late = (self.now + lasts, fault.share, fault.late)
+        elif fault.kind == "hang":
+            for name in self.machines(fault.zone, fault.count):
+                self.loop.freeze(name, self.now + lasts)
         elif fault.kind == "isolate":
             hit = set(chosen)
             for member in chosen:
@@ -235,7 +241,10 @@
             times += [rng.uniform(3.0, day.seconds) for _ in range(count)]
             for at in sorted(times):
                 number += 1
-                self.spawn(later(at, self.user(self.job(number, work), work.stop_after_s)))
+                after = work.stop_after_s
+                if work.cancelled and rng.random() < work.cancelled:
+                    after = rng.uniform(*work.cancel_s)
+                self.spawn(later(at, self.user(self.job(number, work), after)))
         end = begin + day.seconds
         await wait(self, end, end + day.calm_s, lambda: number - self.spared)
 
--- a/src/chalkgrade/region/ground.py
+++ b/src/chalkgrade/region/ground.py
@@ -109,11 +109,13 @@
             kind,
         )
 
-    def spawn(self, work: Awaitable[Any]) -> asyncio.Task[Any]:
+    def spawn(
+        self, work: Awaitable[Any], context: contextvars.Context | None = None
+    ) -> asyncio.Task[Any]:
         # Outside of all controllers: what is on its way goes on when its sender falls silent.
         task: asyncio.Task[Any] = self.loop.create_task(
             work,  # type: ignore[arg-type]
-            context=self.outside,
+            context=self.outside if context is None else context,
         )
         self.background.add(task)
         task.add_done_callback(self._ended)
--- a/src/chalkgrade/region/loop.py
+++ b/src/chalkgrade/region/loop.py
@@ -6,6 +6,8 @@
 import selectors
 from typing import Any
 
+LEAST_S = 1e-6  # s; the grain of virtual time
+
 
 class _Selector(selectors.BaseSelector):
     """Never sleeps: waiting moves the clock."""
@@ -43,7 +45,7 @@
     def __init__(self) -> None:
         self._virtual = _Selector()
         super().__init__(self._virtual)
-        self._clock_resolution = 1e-6
+        self._clock_resolution = LEAST_S
         self.frozen: dict[str, float] = {}
 
     def time(self) -> float:
@@ -76,7 +78,9 @@
     def call_at(  # type: ignore[override]
         self, when: float, callback: Any, *args: Any, context: Any = None
     ) -> asyncio.TimerHandle:
-        when = max(when, self._until(context))
+        # A wait too short for a float to show must move the clock all the same: else who waits
+        # once more for what is left of it stands still (found by a day that never ended).
+        when = max(when, self._until(context), self.time() + 2 * LEAST_S)
         return super().call_at(when, callback, *args, context=context)
 
 
--- a/src/chalkgrade/region/rules.py
+++ b/src/chalkgrade/region/rules.py
@@ -48,6 +48,7 @@
         self.lost = 0.0  # s of work that were done and are not saved
         self.started = self.refusals = self.polls = 0
         self.calm_from = BEGAN  # since when no trouble lasts
+        self.gone_most = 0.0  # s; the longest that a task was there after its cancellation was told
         self.silent_most = 0.0  # s; the longest for which a job's questions met silence
         self.used: set[str] = set()  # machines that were given work
         self.stops: list[float] = []  # when work was stopped that nobody had aborted
@@ -82,6 +83,9 @@
     def leave(self, task: Started) -> None:
         """It is gone from its machine, if it was there."""
         if self._here.pop(task, None) is not None:
+            told = self.jobs[task.spec["nameId"]]["aborted"]
+            if told is not None:
+                self.gone_most = max(self.gone_most, self.now - told)
             self._of_job[task.spec["nameId"]].pop(task)
             self._used[task.spec["owner"]] -= task.spec["vcpus"]
 
--- a/src/chalkgrade/region/store.py
+++ b/src/chalkgrade/region/store.py
@@ -2,13 +2,18 @@
 
 import asyncio
 from bisect import bisect_right
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import SplitResult, parse_qs, urlsplit
 
 import msgspec
 
+from chalkgrade.record.conditions import lacking
+from chalkgrade.record.jobs import BATCH_PREFIX
 from chalkgrade.region.ground import Ground
+from chalkgrade.region.rules import Broken
 
+SILENT_S = 30.0  # s; after which nobody waits for an answer any more
 KEPT = 10_000  # changes that can be asked for; from the protocol
 
 
@@ -35,6 +40,10 @@
         self.refused: dict[str, float] = {}  # node -> until when it gets 503
         self.slow = (0.0, 0.0)  # s an answer takes, until when; one in twenty takes 25 times that
         self.changed = asyncio.Event()
+        # Transactions that get no answer and are carried out late: until when, what share, s.
+        self.late = (0.0, 0.0, (0.0, 0.0))
+        self.checked: Callable[[str], bool] = lambda source: True  # whose conditions are judged
+        self.late_applied = self.late_refused = 0  # by their conditions
 
     def down(self, source: str) -> bool:
         now = self.world.now
@@ -93,7 +102,24 @@
         if lost:
             self._apply([{"remove": key} for key in lost])
 
-    async def handle(self, source: str, method: str, path: str, body: bytes) -> tuple[int, Any]:
+    def _loses(self) -> bool:
+        """Whether a transaction is one of those that get no answer."""
+        until, share, _ = self.late
+        return self.world.now < until and self.world.rng.random() < share
+
+    async def _later(self, data: Any) -> None:
+        """A transaction that nobody hears of any more; in an outage nothing is carried out."""
+        await asyncio.sleep(self.world.rng.uniform(*self.late[2]))
+        while self.world.now < self.outage_until:
+            await asyncio.sleep(self.outage_until - self.world.now + 0.01)
+        status, _ = self._commit(data)
+        if data.get("apply"):
+            self.late_applied += status == 200
+            self.late_refused += status == 409
+
+    async def handle(
+        self, source: str, method: str, path: str, body: bytes
+    ) -> tuple[int, Any] | None:
         if self.down(source):
             return 503, {"error": "down"}
         parts = urlsplit(path)
@@ -101,6 +127,10 @@
         data = msgspec.json.decode(body) if body else None
         if not self._spend("requests", 1):
             return 429, {"error": "too many requests"}
+        if parts.path == "/commit" and self._loses():
+            self.world.spawn(self._later(data))
+            await asyncio.sleep(SILENT_S)
+            return None
         took, until = self.slow
         if self.world.now < until and parts.path != "/changes":
             # Before or after it is executed: what is given up may be applied all the same.
@@ -117,6 +147,8 @@
     ) -> tuple[int, Any]:
         if parts.path == "/commit":
             assert len(msgspec.json.encode(data)) <= 64 * 1024
+            if self.checked(source):
+                self._judge(data)
             return self._commit(data)
         if parts.path == "/leases":
             self.lease_number += 1
@@ -148,6 +180,20 @@
         value, stamp, permit = self.keys[key]
         return 200, {"k": key, "v": value, "stamp": stamp, "permit": permit}
 
+    def _failed(self, data: dict[str, Any]) -> list[str]:
+        """The keys whose conditions do not hold."""
+        none = (0, 0, 0)
+        return [c["k"] for c in data["if"] if self.keys.get(c["k"], none)[1] != c["stamp"]]
+
+    def _judge(self, data: dict[str, Any]) -> None:
+        """What would be executed without that which makes it harmless later breaks our rule."""
+        conditions = {row["k"]: row["stamp"] for row in data["if"]}
+        named = (key for key in conditions if key.startswith(BATCH_PREFIX))
+        held = {key: self.keys[key][0] for key in named if key in self.keys}
+        wrong = lacking(conditions, data.get("apply", []), held)
+        if wrong and not self._failed(data):
+            raise Broken(f"unfenced: {wrong[0]}")
+
     def _commit(self, data: dict[str, Any]) -> tuple[int, Any]:
         apply = data.get("apply", [])
         sizes = [len(msgspec.json.encode(op.get("v"))) for op in apply]
@@ -164,7 +210,7 @@
         for op in apply:
             if op.get("permit") is not None and op["permit"] not in self.leases:
                 return 400, {"error": "no such lease"}
-        failed = [c["k"] for c in data["if"] if self.keys.get(c["k"], (0, 0, 0))[1] != c["stamp"]]
+        failed = self._failed(data)
         if failed:
             return 409, {"failed": failed, "ledgerRev": self.rev}
         if apply:
--- a/src/chalkgrade/region/troubles.py
+++ b/src/chalkgrade/region/troubles.py
@@ -55,7 +55,11 @@
         state = now < max(store.outage_until, store.slow[1], *store.refused.values(), 0.0)
         frozen = any(until > now for until in self.loop.frozen.values())
         down = any(not self.up(member) for member in self.members)
-        return cut or state or frozen or down or now < max(self.copies[0], self.flapped_until)
+        # A late transaction or copy may still come after the last one was held up.
+        until, _, (_, most) = store.late
+        held = until > 0 and now < until + most
+        lasting = held or now < max(self.copies[0], self.flapped_until)
+        return cut or state or frozen or down or lasting
 
     async def election(self, times: int, every: float) -> None:
         """Restarts within a fraction of a second at every step of finding a leader; s."""
--- a/src/chalkgrade/region/worker.py
+++ b/src/chalkgrade/region/worker.py
@@ -1,11 +1,16 @@
 """Machines' agents, as the protocol describes them, and the tasks on them."""
 
 import asyncio
+import contextvars
+from collections.abc import Coroutine
 from typing import Any
 
 from chalkgrade.outside import NoAnswer
+from chalkgrade.region.loop import MEMBER
 from chalkgrade.region.rules import History
 
+ANSWER_S = 4.0  # s; an answer that takes longer is dropped; from the protocol
+
 
 class Task:
     """A task on a worker."""
@@ -37,9 +42,16 @@
         self.target = world.rng.choice(sorted(world.members))
         self.changed = asyncio.Event()
         self.loops: list[asyncio.Task[None]] = []
+        # What stands still while the machine hangs. Its lease does not: who goes on after its
+        # end has killed everything before it does anything else.
+        self.context = contextvars.Context()
+        self.context.run(MEMBER.set, self.name)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        return self.world.spawn(work, self.context)
 
     def start(self) -> None:
-        self.loops = [self.world.spawn(self._report_loop()), self.world.spawn(self._lease_loop())]
+        self.loops = [self._spawn(self._report_loop()), self.world.spawn(self._lease_loop())]
 
     def die(self) -> None:
         self.alive = False
@@ -114,11 +126,13 @@
             self.changed.clear()
             try:
                 status, body = await world.request(
-                    self.name, self.target, "POST", "/hello", self.report(), 4.0
+                    self.name, self.target, "POST", "/hello", self.report(), ANSWER_S
                 )
             except NoAnswer:
                 await self._next_node()
                 continue
+            if world.now - sent > ANSWER_S:
+                continue  # it hung meanwhile
             if status == 200 and body.get("baton", -1) >= self.baton and tenure == self.tenure:
                 if body["baton"] > self.baton:
                     self.baton = body["baton"]
@@ -169,7 +183,7 @@
             saves = task.status == "running" and spec["savepointS"] > 0
             if saves and order["graceS"] >= spec["flushS"]:
                 task.status = "saving"
-                task.timers.append(self.world.spawn(self._end(task, spec["flushS"], "halted")))
+                task.timers.append(self._spawn(self._end(task, spec["flushS"], "halted")))
             else:
                 self._exit(task, "halted")
             self.changed.set()
@@ -193,7 +207,7 @@
                 task.status, task.cause = "ended", "no_room"
                 world.refusals += 1
             else:
-                task.timers.append(world.spawn(self._run(task)))
+                task.timers.append(self._spawn(self._run(task)))
 
     async def _run(self, task: Task) -> None:
         world, spec = self.world, task.spec
--- a/src/chalkgrade/region/world.py
+++ b/src/chalkgrade/region/world.py
@@ -67,6 +67,7 @@
         super().__init__(loop, seed)
         self.nodes: dict[str, Node | None] = dict.fromkeys(self.members)
         self.versions: dict[str, Version] = {}  # controllers that start as another version
+        self.store.checked = lambda source: source not in self.versions
         self.epochs = dict.fromkeys(self.members, 0)
         self.contexts: dict[str, contextvars.Context] = {}
         self.last_nodes: list[Node] = []  # those that have ended, for their counts
@@ -245,6 +246,8 @@
         world.spawn(world.sweep())
         await asyncio.sleep(4.0)
         await story(world)
+        if world.failure is not None:
+            raise world.failure
 
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
--- a/src/chalkgrade/serving/intake.py
+++ b/src/chalkgrade/serving/intake.py
@@ -220,10 +220,10 @@
         if refused is not None:
             return refused
         value = JobValue(spec, self.clock.wall())
-        if spec.waitsOn is not None:
-            value = await apart.keep(self.ledger, value)
         for attempt in range(2):
             try:
+                if spec.waitsOn is not None:
+                    value = await apart.keep(self.ledger, value)
                 await self.ledger.commit(
                     {JOB_PREFIX + name: 0, END_PREFIX + name: 0},
                     [{"write": JOB_PREFIX + name, "v": msgspec.Raw(apart.record(value))}],
@@ -233,7 +233,7 @@
                 status, known = await self.query(name)
                 return status if status != 404 else 503, known
             except Rejected as error:
-                return 400, {"error": f"can't be kept: {error}"}
+                return await self._unless_known(name, (400, {"error": f"can't be kept: {error}"}))
             except (NotExecuted, NoAnswer):
                 if attempt:
                     raise
--- a/src/chalkgrade/serving/node.py
+++ b/src/chalkgrade/serving/node.py
@@ -60,7 +60,7 @@
         self.cloud = Cloud(http, clock, settings.endpoints.cloud, cluster.cloud.rps)
         spare = cluster.workers.cancel_s - cluster.workers.lease_s - constants.LIMBO_MARGIN_S
         self.leadership = Leadership(
-            self.ledger, clock, rng, settings.member, max(0.0, spare), self._lead, self._lose, home
+            self.ledger, clock, rng, settings.member, spare, self._lead, self._lose, home
         )
         others = [peer.member for peer in settings.others]
         self.views = Views(settings.member, others, clock, cluster.skew_ms / 1000, self._changed)
@@ -165,6 +165,9 @@
         """Figures for /metrics: this node's, and those of its term if it leads."""
         yield gauge("leading", "1 while this node surely holds the lead", self.leadership.acting())
         yield gauge("token", "highest token known", self.leadership.highest)
+        left = self.leadership.shelter.left_s() if self.leadership.token else 0.0
+        text = "How long workers are kept if the lease is not proved again, s"
+        yield gauge("shelter_left", text, round(left, 1))
         yield from self._member_samples()
         yield by_label("handovers", "Planned handovers", "outcome", self.handover.counts)
         yield gauge("up", "1 while users are served here", self.up())
--- a/src/chalkgrade/state/leadership.py
+++ b/src/chalkgrade/state/leadership.py
@@ -18,6 +18,7 @@
 from chalkgrade import constants
 from chalkgrade.outside import Clock, NoAnswer, Signal
 from chalkgrade.state.ledger import Compacted, Conflict, Ledger, NotExecuted, Rejected, Row
+from chalkgrade.state.shelter import Shelter
 
 log = logging.getLogger("chalkgrade.leadership")
 
@@ -56,7 +57,7 @@
         clock: Clock,
         rng: random.Random,
         member: str,
-        limbo_s: float,
+        spare_s: float,
         on_lead: Callable[[int], None],
         on_lose: Callable[[], None],
         home: str = "",
@@ -66,7 +67,7 @@
         self._rng = rng
         self.member = member
         self.home = home
-        self._limbo_s = limbo_s
+        self.shelter = Shelter(clock, spare_s)
         self._mark = f"{rng.getrandbits(64):016x}"  # of this process, in each of its nonces
         self._nonces = itertools.count(1)
         self._on_lead = on_lead
@@ -84,17 +85,16 @@
         self._offer: _Offer | None = None
         self._permit = 0
         self._ttl_s = constants.LEASE_TTL_S
-        self._alive_until = 0.0
         self._touched_at = self._failed_at = -1e9
         self._deposed = asyncio.Event()
 
     def acting(self) -> bool:
         """Whether our lease is surely alive: only then may we decide anything."""
-        return self.token > 0 and self._clock.now() < self._alive_until
+        return self.token > 0 and self.shelter.acting()
 
     def sheltering(self) -> bool:
         """Whether we may still keep worker leases alive: acting, or a bounded time after."""
-        return self.token > 0 and self._clock.now() < self._alive_until + self._limbo_s
+        return self.token > 0 and self.shelter.open()
 
     def heard(self, token: int, member: str | None = None) -> None:
         """Somebody showed us a token; a higher one than ours ends our lead at once."""
@@ -116,10 +116,6 @@
             self._deposed.set()
             self._on_lose()
 
-    def _extend(self, sent_at: float) -> None:
-        lasts = self._ttl_s * (1 - constants.CLOCK_DRIFT) - constants.LEASE_MARGIN_S
-        self._alive_until = max(self._alive_until, sent_at + lasts)
-
     async def run(self) -> None:
         """Follow the key, campaign when it is gone, keep the lease while leading."""
         while True:
@@ -258,10 +254,10 @@
 
     async def _begin(self, token: int, permit: int, begun: float) -> None:
         """Lead under a key that is ours, with a lease that was granted after `begun`."""
-        self._permit, self._alive_until = permit, 0.0
-        self._touched_at = begun
-        self._extend(begun)
-        if self._clock.now() >= self._alive_until or not self.able():
+        self._permit, self._touched_at = permit, begun
+        self.shelter.begin()
+        self.shelter.proved(begun, self._ttl_s)
+        if not self.shelter.acting() or not self.able():
             return  # too slow: the lease may be gone already
         self.token, self.highest = token, token
         self.know(self.member)
@@ -274,10 +270,15 @@
     async def _keep(self) -> None:
         """Renew until the lease is lost, or was out of sight for too long."""
         touches: set[asyncio.Task[None]] = set()
+        told = False  # that nothing is decided any more
         try:
             while self.token:
+                acting = self.acting()
+                if acting is told:
+                    told = not acting
+                    self._tell(acting)
                 usual = constants.TOUCHES * self._ttl_s
-                pause = usual if self.acting() else constants.STATE_PAUSE_S
+                pause = usual if acting else constants.STATE_PAUSE_S
                 try:
                     async with asyncio.timeout(pause):
                         await self._deposed.wait()
@@ -292,6 +293,20 @@
             for touch in touches:
                 touch.cancel()
 
+    def _tell(self, acting: bool) -> None:
+        """Say that the lease ran out of sight, or is back."""
+        extra = {"token": self.token, "left_s": round(self.shelter.left_s(), 1)}
+        if acting:
+            log.warning("token %d: the lease is proved again", self.token, extra=extra)
+        else:
+            log.warning(
+                "token %d: the lease is not proved any more: nothing is started, workers are"
+                " kept for %.1f s more",
+                self.token,
+                self.shelter.left_s(),
+                extra=extra,
+            )
+
     async def _touch(self) -> None:
         """One renewal; the lease counts from when it was sent."""
         sent_at = self._clock.now()
@@ -305,10 +320,12 @@
             self._failed_at = self._clock.now()
             alive = self.sheltering()
             if not alive:
-                log.warning("no state service for too long: stepping down")
+                log.warning(
+                    "token %d: no state service for too long: workers are let go", self.token
+                )
         else:
             if alive:
-                self._extend(sent_at)
+                self.shelter.proved(sent_at, self._ttl_s)
             elif self.token:
                 if sent_at - self._failed_at > 2 * self._ttl_s:
                     self.ended_under_us_at = self._clock.now()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -28,6 +28,7 @@
 from chalkgrade.serving.node import Node
 from chalkgrade.state import leadership
 from chalkgrade.state.leadership import LEADER_KEY, Leadership
+from chalkgrade.state.shelter import Shelter
 
 QUICK = settings(
     max_examples=60,
@@ -532,9 +533,9 @@
 def _lease_from_the_answer(patch: pytest.MonkeyPatch) -> None:
     """A lease is counted from when it was heard of, and without a margin."""
     patch.setattr(
-        Leadership,
-        "_extend",
-        lambda self, sent_at: setattr(self, "_alive_until", self._clock.now() + 2 * self._ttl_s),
+        Shelter,
+        "proved",
+        lambda self, sent_at, ttl_s: setattr(self, "known_until", self._clock.now() + 2 * ttl_s),
     )
 
 
@@ -543,10 +544,10 @@
     plain = Leadership.hand_over
 
     async def hand_over(self: Leadership, *to: Any) -> bool:
-        token, until = self.token, self._alive_until
+        token, until = self.token, self.shelter.known_until
         moved = await plain(self, *to)
         if not moved:
-            self.token, self._alive_until = token, until + 3.0
+            self.token, self.shelter.known_until = token, until + 3.0
         return moved
 
     patch.setattr(Leadership, "hand_over", hand_over)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -31,6 +31,7 @@
     plain |= {"spread": False, "hosttypes": None, "site": None, "standby": True, "dueS": None}
     job = world.spec(number, **(plain | {"vcpus": 1.0, "memoryGb": 2.0} | changes))
     world.jobs[job["nameId"]] = {"spec": job, "aborted": None, "over": None, "accepted": True}
+    world.jobs[job["nameId"]]["replicas"] = set()
     status, _ = await node.handle("POST", "/v2/runs", msgspec.json.encode(job))
     assert status == 201
     return job
