--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -41,6 +41,9 @@
 LEADER_WATCH_S: Final = 5.0  # s; how long a follower's watch on the leader key blocks
 CAMPAIGN_PAUSE_S: Final = 0.25  # s; between failed campaigns, jittered
 LIMBO_MARGIN_S: Final = 5.0  # s; kept free of cancel_s when keeping worker leases in an outage
+TESTIMONY_EVERY_S: Final = 2.0  # s; between two questions to all others in an outage
+TOLD_SLACK_S: Final = 3.0  # s; a question's way, at most PEER_TIMEOUT_S, and the clocks' drift
+TOLD_KEPT: Final = 20_000  # cancellations that a process remembers having told: 2 MB
 
 # --- membership ---------------------------------------------------------------
 TICK_S: Final = 0.5  # s; between two rounds of questions: two must be lost before a suspicion
@@ -140,6 +143,7 @@
 
 # --- rentals ----------------------------------------------------------------
 LIST_EVERY_S: Final = 2.0  # s; the list lags by seconds anyway
+TYPES_S: Final = 1.5  # s; after an outage, until machine types were read: two pauses and the way
 FLAVORS_EVERY_S: Final = 20.0  # s; spot prices move slowly
 CLOUD_TIMEOUT_S: Final = 6.0  # s
 REACHED_S: Final = 15.0  # s; the leader asks the cloud every few seconds
--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -78,6 +78,7 @@
         self.loaded = Signal()  # the record is read: reports are taken from now on
         self.tasks: list[asyncio.Task[None]] = []
         self.counts: dict[str, int] = defaultdict(int)  # ended attempts by cause
+        self.believed: set[str] = set()  # jobs that others have told of, see `believe`
         self.writer = Writer(office, self.book)
         self.pipelines = Pipelines(self.book, self._job_came, self.queues.dues, self.queues.takes_s)
         self.add(self.pipelines)
@@ -217,6 +218,20 @@
                 break
         raise Unavailable
 
+    def believe(self, told: set[str]) -> None:
+        """Stop what others have told users is cancelled."""
+        for job in filter(None, map(self.jobs.get, told - self.believed)):
+            job.told = True
+            for attempt in job.live.values():
+                attempt.kill_at = attempt.kill_at or self.clock.now()
+        self.believed |= told
+
+    def doubt(self) -> None:
+        """The record is ours again: only what it says is cancelled is so."""
+        for job in filter(None, map(self.jobs.get, self.believed)):
+            job.told = False
+        self.believed.clear()
+
     # -- workers and what becomes of attempts ---------------------------------------
 
     async def hello(self, report: Report, relayed: bool = False) -> tuple[int, dict[str, Any]]:
--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -303,6 +303,7 @@
         self.held = False  # it waits for other jobs: it has no task that waits for room
         self.aborted = value.aborted  # durable, so users may hear it
         self.aborting = False  # being made durable: nothing may be launched any more
+        self.told = False  # another controller has told of its end, out of this leader's sight
         self.stamp = stamp  # revision of its own record; 0: it has none
         self.pages: dict[int, Page] = {}
         self.waiting = Waiting(self.spec.tasks)
@@ -321,7 +322,7 @@
     @property
     def cancelled(self) -> bool:
         """Whether its user asked for its end: nothing of it is of use any more."""
-        return self.aborted or self.aborting
+        return self.aborted or self.aborting or self.told
 
     @property
     def group(self) -> str:
--- a/src/chalkgrade/serving/node.py
+++ b/src/chalkgrade/serving/node.py
@@ -26,6 +26,7 @@
 from chalkgrade.serving.intake import Intake
 from chalkgrade.serving.reading import LATER, Answer
 from chalkgrade.serving.reception import Reception
+from chalkgrade.serving.testimony import Testimony
 from chalkgrade.settings import Settings
 from chalkgrade.state.leadership import Leadership
 from chalkgrade.state.ledger import Ledger, NotExecuted
@@ -50,6 +51,7 @@
         self.settings = settings
         self.clock = clock
         self.began = clock.now()
+        self.cut_at = -1e9  # when we were last up within an outage for all
         self.peers = peers
         self.http = http
         self.rng = rng
@@ -102,6 +104,7 @@
             cluster.workers.report_s,
             self._machines_up,
         )
+        self.testimony = Testimony(clock, peers, others, self.leadership, lambda: self.term)
         self.intake.checks += subsystems.refusals(settings)
         self.term: Term | None = None
         self.counts: dict[str, int] = {}
@@ -109,7 +112,7 @@
 
     def start(self) -> None:
         loops = [self.leadership.run(), self._flavors_loop(), self.intake.watch()]
-        knowing = (*self.watch.loops, *self.presence.loops, self.handover.run)
+        knowing = (*self.watch.loops, *self.presence.loops, self.handover.run, self.testimony.run)
         loops += [self._again(loop) for loop in knowing]
         self._tasks = [asyncio.create_task(loop) for loop in loops]
 
@@ -304,6 +307,8 @@
                 if not known or not self.succession.hear(hints, self.leadership.highest):
                     self.views.drop("hints")
                 return {"status": 200, "body": {}}
+            if what == "told":
+                return self.testimony.answer(arg)
             if what == "succeed":
                 return await self.handover.succeed(arg)
             if what in ("status", "abort") and isinstance(arg, str):
@@ -332,14 +337,18 @@
         """Whether users are served here: not when we alone are cut off from the state."""
         if self.presence.aside:
             return False
+        now = self.clock.now()
         if self.ledger.fresh():
-            return bool(self.flavors)
+            # An outage that has just ended: machine types are known in a moment, and balancers
+            # let nobody in for seconds who was away for one (found where seeds were changed).
+            return bool(self.flavors) or now - self.cut_at < constants.TYPES_S
         fresh = self.views.fresh()
         if any(word.state for word in fresh):
             return bool(self.flavors and self.reception.near())
         # Nobody reaches it: an outage, in which leaving the balancer would only cost time later:
         # also to who is back within it and knows no machine types yet (found on the bench,
         # where users had no controller for seconds after its end).
+        self.cut_at = now if fresh else self.cut_at
         return bool(fresh)
 
     async def handle(self, method: str, path: str, body: bytes) -> Answer:
@@ -348,6 +357,13 @@
             return await self._hello(body)
         if path == "/up" and method == "GET":
             return (200, {"up": True}) if self.up() else (503, {"up": False})
+        if path == "/v2/runs" or path.startswith("/v2/runs/"):
+            status, answer = await self._user(method, path, body)
+            self.testimony.told.note(status, answer)  # before it is sent
+            return status, answer
+        return 404, {"error": "no such resource"}
+
+    async def _user(self, method: str, path: str, body: bytes) -> Answer:
         if path == "/v2/runs":
             if method != "POST":
                 return 405, {"error": "POST only"}
--- a/src/chalkgrade/state/shelter.py
+++ b/src/chalkgrade/state/shelter.py
@@ -1,7 +1,8 @@
 """How long a leader may act, and how long after that it may keep workers' leases alive.
 
-The one place that knows. Both count from one instant, `known_until`: up to it, by this
-controller's own clock, it surely knows every cancellation that anybody may have confirmed.
+The one place that knows. It acts until `proved_until`, as long as its lease is surely alive, and
+keeps workers for a time after `known_until`: up to that instant, by this controller's own
+clock, it surely knows every cancellation that anybody may have confirmed.
 
 1. A cancellation is confirmed only once a commit that holds it was executed, conditioned on
    the leader key. While the key is ours, that commit is ours.
@@ -17,7 +18,10 @@
    worker counts its lease from when it sent a report, which is before we answer it: answered
    until `known_until + spare_s`, its tasks are over at `known_until + spare_s + lease_s`,
    and `spare_s` is `cancel_s - lease_s` less a margin for both clocks.
-5. Whoever knows of a cancellation sends a kill with each answer that renews. So a worker that
+5. After `proved_until` the knowledge lasts on if all others list whom they have told since then
+   (`serving.testimony`): whoever is told of a cancellation that is in no list is told after its
+   teller has answered, which is after we asked. So `known_until` is when we asked.
+6. Whoever knows of a cancellation sends a kill with each answer that renews. So a worker that
    goes from leader to leader, in any order, is stopped by the first that knows, and is let go
    in time by those that do not. Where nobody reaches it, its lease ends by itself.
 
@@ -35,20 +39,25 @@
         """`spare_s`: how long after `known_until` workers may be kept; s."""
         self._clock = clock
         self.spare_s = max(0.0, spare_s)
-        self.known_until = 0.0
+        self.proved_until = self.known_until = 0.0
 
     def begin(self) -> None:
         """A new lead: what an earlier one has proved says nothing of it."""
-        self.known_until = 0.0
+        self.proved_until = self.known_until = 0.0
 
     def proved(self, sent_at: float, ttl_s: float) -> None:
         """A request sent then has granted or renewed the lease for so long."""
         lasts = ttl_s * (1 - constants.CLOCK_DRIFT) - constants.LEASE_MARGIN_S
-        self.known_until = max(self.known_until, sent_at + lasts)
+        self.proved_until = max(self.proved_until, sent_at + lasts)
+        self.known_until = max(self.known_until, self.proved_until)
+
+    def vouched(self, asked_at: float) -> None:
+        """All others, asked then, have told of every cancellation that they told users of."""
+        self.known_until = max(self.known_until, asked_at)
 
     def acting(self) -> bool:
         """Whether the lease is surely alive: only then anything may be decided."""
-        return self._clock.now() < self.known_until
+        return self._clock.now() < self.proved_until
 
     def open(self) -> bool:
         """Whether a worker may still be answered with what renews its lease."""
