--- a/src/chalkgrade/experiments/meetings.py
+++ b/src/chalkgrade/experiments/meetings.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
+from chalkgrade.experiments import shrinking
 from chalkgrade.experiments.troubles import Watched
 from chalkgrade.region.day import Day, Fault, Kind, Pipe, Room, Stage, Work
 from chalkgrade.region.fleet import percentile, play_day
@@ -323,5 +324,8 @@
 
 
 def run(seed: int) -> dict[str, Any]:
-    """For the command line."""
-    return play(seed)
+    """For the command line; a day that broke a rule comes with a small one that does, too."""
+    found = play(seed)
+    if found["broken"]:
+        found["day"] = shrinking.text(shrinking.shrink(day(seed)[0], seed))
+    return found
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -223,6 +223,50 @@
     assert World.LEASE_S < took[0] < World.CANCEL_S - constants.LIMBO_MARGIN_S + 0.5
 
 
+async def _paths(world: World, path: str, old: str, new: str) -> None:
+    """Which controllers machines reach from the moment on in which two lead by their own word."""
+    workers, others = sorted(world.workers), set(world.members) - {old}
+    if path == "relay":  # neither leader: a third controller carries their reports
+        world.cut(set(workers), {old, new}, 300.0, False)
+    elif path == "split":  # both leaders shelter, each its own
+        world.cut(set(workers[::2]), others, 300.0, False)
+        world.cut(set(workers[1::2]), {old}, 300.0, False)
+    else:  # to the one, then to the other, and back
+        while True:
+            for away in (others, {old}):
+                world.cut(set(workers), away, 5.0, False)
+                await asyncio.sleep(5.0)
+
+
+@pytest.mark.parametrize("path", ["relay", "split", "to and fro"])
+@pytest.mark.parametrize("kind", [World, Five])
+def test_whatever_way_reports_take_in_the_gap(kind: type[World], path: str) -> None:
+    async def story(world: World) -> None:
+        names = [_long(number)["nameId"] for number in range(1, 5)]
+        for number in range(1, 5):
+            world.spawn(world.user(_long(number, 3), None))
+        await _until(world, 120.0, lambda: len(world.present()) == 12)
+        leader = _leader(world)
+        assert leader is not None
+        old = leader.settings.member
+        others = set(world.members) - {old}
+        world.cut({old}, others, 300.0, False)
+        world.store.refused[old] = world.now + 300.0
+        await _until(world, 20.0, lambda: any(_leads(world, member) for member in others))
+        new = next(member for member in others if _leads(world, member))
+        world.spawn(_paths(world, path, old, new))
+        for name in names[:3]:
+            await _asks(world, new, name)
+        world.store.outage(world.CANCEL_S + 30.0)
+        await asyncio.sleep(world.CANCEL_S + 5.0)
+        assert not any(world.of_job(name) for name in names[:3])
+        if world.failure is not None:
+            raise world.failure
+
+    for seed in (1, 2):
+        tell(story, seed, loss=0.0, kind=kind)
+
+
 def _each_refusal(patch: pytest.MonkeyPatch) -> None:
     plain = Leadership._touch
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -9,11 +9,13 @@
 from click.testing import CliRunner
 
 from chalkgrade.cli import main
-from chalkgrade.experiments import meetings
+from chalkgrade.experiments import meetings, shrinking
 from chalkgrade.experiments.meetings import Maker
 from chalkgrade.leading.reports import Reports
 from chalkgrade.leading.term import Term
 from chalkgrade.machines.fleet import Fleet, Machine
+from chalkgrade.region import day as days
+from chalkgrade.region.day import Fault
 from chalkgrade.region.world import World, tell
 from test_gap import _long
 from test_membership import _until
@@ -158,3 +160,24 @@
         assert worker.tenure == tenure + 1 and not worker.tasks
 
     tell(story, 2, loss=0.0)
+
+
+def test_a_day_that_breaks_a_rule_is_shrunk_to_a_file_that_breaks_it_again(
+    monkeypatch: Patch, tmp_path: Path
+) -> None:
+    _answers_while_it_shelters(monkeypatch)
+    made, _ = meetings.day(0, (meetings.isolated,))
+    made.faults += [Fault(40.0, "slow", 5.0), Fault(60.0, "stop", count=2)]
+    assert shrinking.breaks(made, 0) == "went_back"
+    small = shrinking.shrink(made, 0, plays=7)
+    assert [fault.kind for fault in small.faults] == ["isolate"]
+    assert len(small.classes) + len(small.pipes) < len(made.classes) + len(made.pipes)
+    again = days.parse(shrinking.text(small).encode())
+    assert again == small
+    assert shrinking.breaks(again, 0) == "went_back"
+
+
+def test_a_day_that_breaks_nothing_is_not_shrunk() -> None:
+    made, _ = meetings.day(0, (meetings.isolated,))
+    with pytest.raises(ValueError, match="breaks no rule"):
+        shrinking.shrink(made, 0, lambda day, seed: "")
