--- a/src/chalkgrade/experiments/gap.py
+++ b/src/chalkgrade/experiments/gap.py
@@ -1,7 +1,7 @@
 """The gap: a leader is refused alone, another confirms cancellations, then nobody is served.
 
 Variants are drawn: how long the refusal lasts, when the outage follows and how long it is, and
-what else comes with them. `outage` is the other side: the work that a plain outage costs.
+what else comes with them. `plain` is the other side: the work that a plain outage costs.
 """
 
 import random
