--- a/src/chalkgrade/experiments/meetings.py
+++ b/src/chalkgrade/experiments/meetings.py
@@ -60,9 +60,9 @@
             return
         self.struck.append((fault.kind, self.now, met))
 
-    def heard(self, name: str, answer: dict[str, Any]) -> None:
+    def heard(self, name: str, answer: dict[str, Any], asked: float | None = None) -> None:
         before = self.jobs[name]["aborted"]
-        super().heard(name, answer)
+        super().heard(name, answer, asked)
         if before is None and self.jobs[name]["aborted"] is not None:
             self.told.append(Told(self.now, name, len(self.of_job(name))))
 
--- a/src/chalkgrade/region/cloud.py
+++ b/src/chalkgrade/region/cloud.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from chalkgrade.region.rules import History
-from chalkgrade.region.worker import Worker
+from chalkgrade.region.worker import WORKER_PORT, Worker
+
+QUICK_S = (0.3, 2.0)  # s; boots of machines that are up at once
 
 
 class Cloud:
@@ -22,6 +24,7 @@
         self.workers: dict[str, Worker] = {}  # of machines that are up
         self.rented: list[tuple[float, list[str]]] = []  # which machines were, and when
         self.spent = 0.0  # money, for machines that are gone
+        self.quick_until = 0.0  # machines rented until then are up within a second or two
         self.boot_trouble = (0.0, 1.0, 0.0)  # share that never comes, times as slow, until when
 
     def flavors(self) -> dict[str, Any]:
@@ -64,7 +67,8 @@
             names.append(name)
             fail, _, until = self.boot_trouble
             if self.world.rng.random() > (fail if self.world.now < until else 0.04):
-                self.world.spawn(self._boot(name, self._flavor(pool[0])))
+                quick = self.world.now < self.quick_until
+                self.world.spawn(self._boot(name, self._flavor(pool[0]), quick))
         self.hires[data["hire"]] = names
         return 200, {"hosts": names}
 
@@ -77,7 +81,7 @@
         name = f"host-{self.number:06d}"
         self.machines[name] = {
             "nameId": name,
-            "addr": "x:1",
+            "addr": f"{name}:{WORKER_PORT}",
             "hosttype": pool[0],
             "site": pool[1],
             "standby": pool[2],
@@ -95,6 +99,7 @@
     def _up(self, name: str, flavor: dict[str, Any]) -> None:
         self.machines[name]["status"] = "running"
         worker = self.workers[name] = Worker(self.world, self.machines[name], flavor)
+        self.world.servers[name] = worker.serve
         worker.start()
 
     def kill(self, name: str) -> None:
@@ -102,6 +107,7 @@
         worker = self.workers.pop(name, None)
         if worker is not None:
             worker.die()
+            del self.world.servers[name]
             self.world.loop.call_later(30.0, self._failed, name)
 
     def _failed(self, name: str) -> None:
@@ -121,10 +127,11 @@
     def money(self) -> float:
         return self.spent + sum(self.cost(machine) for machine in self.machines.values())
 
-    async def _boot(self, name: str, flavor: dict[str, Any]) -> None:
+    async def _boot(self, name: str, flavor: dict[str, Any], quick: bool) -> None:
         _, factor, until = self.boot_trouble
         factor = factor if self.world.now < until else 1.0
-        await asyncio.sleep(flavor["bootS"] * factor * self.world.rng.uniform(0.2, 1.8))
+        usual = flavor["bootS"] * factor * self.world.rng.uniform(0.2, 1.8)
+        await asyncio.sleep(self.world.rng.uniform(*QUICK_S) if quick else usual)
         if name in self.machines:
             self._up(name, flavor)
 
@@ -136,3 +143,4 @@
         worker = self.workers.pop(name, None)
         if worker is not None:
             worker.die()
+            del self.world.servers[name]
--- a/src/chalkgrade/region/day.py
+++ b/src/chalkgrade/region/day.py
@@ -73,20 +73,25 @@
     kind: Literal[
         "crash", "roll", "freeze", "refuse", "outage", "slow", "cut", "zone", "stop", "silence",
         "take", "sick", "flap", "deaf", "copies", "isolate", "election", "limits",
-        "late_writes", "hang",
+        "late_writes", "hang", "mute", "cancel_now", "cancel_at_end", "odd_requests",
+        "close_looks", "quick_boots",
     ]  # fmt: skip
     seconds: float = 10.0  # how long, or until a controller is back
     times: int = 5  # of a flap: how often each of them ends; of an election: how many restarts
     every: float = 3.0  # of a flap: how long a process lives on average, a third to 5/3 of it
-    share: float = 0.3  # of reports that are copied, of transactions that get no answer
+    share: float = 0.3  # of reports that are copied, of transactions that get no answer, of jobs
+    # that are called off at their end
     late: tuple[float, float] = (2.0, 40.0)  # s; how late the copies come, or are carried out
     who: str = "leader"  # leader, others, all, or a controller's name
-    count: int = 1  # controllers or machines
+    count: int = 1  # controllers, machines, or jobs that are called off
     zone: str = ""  # of machines, or the one that is cut off
     one: list[str] = []  # sides of a cut: leader, others, all, machines, state, cloud, users,
     other: list[str] = []  # or a controller's name
     hold: bool = False  # messages are held and delivered when the cut ends
     one_way: bool = False  # only what goes from `one` to `other` is cut
+    hang_s: float = 0.0  # of cancel_now: how long machines hang that run those jobs
+    at_once: bool = False  # of late_writes: carried out at once, only the answer is lost
+    for_next: bool = False  # of copies: kept for the first second of the next leader
 
 
 class Stage(msgspec.Struct, forbid_unknown_fields=True):
@@ -126,6 +131,9 @@
     pipes: list[Pipe] = []
 
 
+# Fields of one kind of faults only.
+OF_ONE = {"hang_s": "cancel_now", "at_once": "late_writes", "for_next": "copies"}
+
 WORDS = ("leader", "others", "all", "machines", "state", "cloud", "users")
 
 
@@ -205,6 +213,11 @@
             raise SettingsError(f"{where}.share: must be over 0 and at most 1, is {fault.share:g}")
         if not 0 <= fault.late[0] <= fault.late[1] <= 3600:
             raise SettingsError(f"{where}.late: must be two rising times up to 3600")
+        if not 0 <= fault.hang_s <= 3600:
+            raise SettingsError(f"{where}.hang_s: must be 0 to 3600, is {fault.hang_s:g}")
+        for field, kind in OF_ONE.items():
+            if getattr(fault, field) and fault.kind != kind:
+                raise SettingsError(f"{where}.{field}: only {kind} may have it, not {fault.kind}")
         if fault.times > constants.DAY_FLAPS:
             raise SettingsError(
                 f"{where}.times: must be at most {constants.DAY_FLAPS}, is {fault.times}"
--- a/src/chalkgrade/region/fleet.py
+++ b/src/chalkgrade/region/fleet.py
@@ -158,10 +158,27 @@
                     self.spawn(self._take(name, lasts))
         elif fault.kind == "deaf":
             self.deafen(set(self.machines(fault.zone, fault.count)), lasts)
+        elif fault.kind == "mute":
+            self.mute(set(self.machines(fault.zone, fault.count)), lasts)
+        elif fault.kind == "copies" and fault.for_next:
+            self.spawn(self.keep_for_next(lasts, fault.share))
         elif fault.kind == "copies":
             self.copies = (self.now + lasts, fault.share, fault.late)
+        elif fault.kind == "late_writes" and fault.at_once:
+            self.store.unanswered = (self.now + lasts, fault.share)
         elif fault.kind == "late_writes":
             self.store.late = (self.now + lasts, fault.share, fault.late)
+        elif fault.kind == "cancel_now":
+            self.cancel_now(fault.count, fault.hang_s)
+        elif fault.kind == "cancel_at_end":
+            self.at_end = (self.now + lasts, fault.share)
+        elif fault.kind == "odd_requests":
+            self.odd_until = self.now + lasts
+            self.spawn(self.odd_requests())
+        elif fault.kind == "close_looks":
+            self.close_until = self.now + lasts
+        elif fault.kind == "quick_boots":
+            self.cloud.quick_until = self.now + lasts
         elif fault.kind == "hang":
             for name in self.machines(fault.zone, fault.count):
                 self.loop.freeze(name, self.now + lasts)
--- a/src/chalkgrade/region/ground.py
+++ b/src/chalkgrade/region/ground.py
@@ -16,6 +16,10 @@
 Server = Callable[[str, str, str, Any], Awaitable[tuple[int, Any] | None]]
 
 
+CONNECT_S = 0.5  # s; until a machine gives up a connection that nobody takes
+KEPT_COPIES = 3  # of each machine, for the next leader
+
+
 class Ground:
     """Time, one random source, the network, and what the settings say."""
 
@@ -75,6 +79,11 @@
         self.loss = self.LOSS
         # Copies of workers' reports: until when, what share of them, and how late; s.
         self.copies = (0.0, 0.0, (0.0, 0.0))
+        self.muted: dict[str, float] = {}  # machine -> until when no report of it gets through
+        # Copies that wait for the next leader, by machine; until when reports are kept so, and
+        # what share of them.
+        self.kept: dict[str, list[Any]] = {}
+        self.keeps = (0.0, 0.0)
         self.failure: BaseException | None = None
         self.background: set[asyncio.Task[Any]] = set()
 
@@ -167,10 +176,16 @@
         if not self.up(target):
             await asyncio.sleep(0.001)
             raise NoAnswer("refused")
+        if path == "/hello" and self.now < self.muted.get(source, 0.0):
+            await asyncio.sleep(CONNECT_S)
+            raise NoAnswer("no connection")
         exchange = self.spawn(self._exchange(source, target, method, path, body))
         until, share, late = self.copies
         if path == "/hello" and self.now < until and self.rng.random() < share:
             self.spawn(self._copy(source, method, path, body, self.rng.uniform(*late)))
+        until, share = self.keeps
+        if path == "/hello" and self.now < until and self.rng.random() < share:
+            self._keep(source, body)
         done, _ = await asyncio.wait({exchange}, timeout=timeout)
         if not done:
             raise NoAnswer("timeout")
@@ -180,6 +195,14 @@
             raise NoAnswer("lost")
         return result
 
+    def _keep(self, source: str, body: Any) -> None:
+        """Keep a copy of a report for the next leader: some of each machine, early and late."""
+        kept = self.kept.setdefault(source, [])
+        if len(kept) < KEPT_COPIES:
+            kept.append(body)
+        else:
+            kept[self.rng.randrange(KEPT_COPIES)] = body
+
     async def _copy(self, source: str, method: str, path: str, body: Any, late: float) -> None:
         """A report once more, late and wherever; nobody waits for its answer."""
         await asyncio.sleep(late)
--- a/src/chalkgrade/region/rules.py
+++ b/src/chalkgrade/region/rules.py
@@ -126,6 +126,10 @@
         job["finished"] = job.get("finished", 0) + 1
         if job["finished"] == job["spec"]["tasks"]:
             job["completed_at"] = self.now
+            self.ended(task.rpartition("/")[0])
+
+    def ended(self, name: str) -> None:
+        """The last task of a job was completed: users may act on it."""
 
     def completed(self, name: str) -> bool:
         """Whether every task of a job is done."""
@@ -151,18 +155,46 @@
         for task, worker in self._here.items():
             self.check_cancelled(worker, task)
 
-    def heard(self, name: str, answer: dict[str, Any]) -> None:
-        """A user was told a job's status."""
+    def answered(self, name: str, asked: float, answer: tuple[int, Any] | None) -> None:
+        """A user who asked at a time has an answer about a job; None: there was none."""
+        if answer is None:
+            return
+        if answer[0] in (200, 201):
+            self.heard(name, answer[1], asked)
+        elif answer[0] in (400, 404, 422):
+            # Whoever knows of a job never calls it unknown, and takes it again.
+            before = self._told_before(name, asked)
+            if before is not None:
+                raise Broken(f"forgotten: {name} was {before}, now {answer[0]} {answer[1]}")
+            if answer[0] != 404:
+                raise Broken(f"{name} refused: {answer}")
+
+    def _told_before(self, name: str, asked: float) -> str | None:
+        """The furthest that some user had been told of a job when a question was asked.
+
+        Two users' answers may cross on their way, so only what had come by then counts.
+        """
+        came = self.jobs[name].get("came", ())
+        return next((status for status, at in reversed(came) if at < asked), None)
+
+    def heard(self, name: str, answer: dict[str, Any], asked: float | None = None) -> None:
+        """A user was told a job's status; `asked`: when the question was, now if not said."""
         job, status = self.jobs[name], answer["status"]
-        if job["over"] is not None and status != job["over"]:
+        asked = self.now if asked is None else asked
+        final = status in ("done", "withdrawn")
+        told = self._told_before(name, asked)
+        if job["over"] not in (None, status) and (final or told == job["over"]):
             raise Broken(f"went_back: {name} was {job['over']}, now {status}")
+        came = job.setdefault("came", [])
+        if not came or (final and came[-1][0] != status):
+            came.append((status, self.now))
         if status == "done" and not self.completed(name):
             raise Broken(f"not_done: {name}")
         before = self.before(name)
         if status in ("pending", "running"):
-            told = [b["aborted"] for b in before if b["aborted"] is not None]
+            times = [b["aborted"] for b in before if b["aborted"] is not None]
             # One that names a cancelled job is accepted all the same: it counts from then.
-            if told and self.now > max(min(told), job["at"]) + self.CANCEL_S + SLACK:
+            if times and self.now > max(min(times), job["at"]) + self.CANCEL_S + SLACK:
                 raise Broken(f"orphaned: {name} is called {status}")
         if status == "withdrawn":
             if not any(one.get("asked") and one["over"] != "done" for one in (job, *before)):
--- a/src/chalkgrade/region/store.py
+++ b/src/chalkgrade/region/store.py
@@ -42,6 +42,9 @@
         self.changed = asyncio.Event()
         # Transactions that get no answer and are carried out late: until when, what share, s.
         self.late = (0.0, 0.0, (0.0, 0.0))
+        # Transactions that are carried out at once and get no answer: until when, what share.
+        self.unanswered = (0.0, 0.0)
+        self.answers_lost: dict[str, int] = {}  # of executed ones, by the kind of what they wrote
         self.checked: Callable[[str], bool] = lambda source: True  # whose conditions are judged
         self.late_applied = self.late_refused = 0  # by their conditions
 
@@ -107,6 +110,18 @@
         until, share, _ = self.late
         return self.world.now < until and self.world.rng.random() < share
 
+    def _loses_answer(self) -> bool:
+        """Whether only the answer of a transaction is lost."""
+        until, share = self.unanswered
+        return self.world.now < until and self.world.rng.random() < share
+
+    def _count_lost(self, data: Any) -> None:
+        """By the first part of each key that it wrote: which kinds of commits met it."""
+        for op in data.get("apply", []):
+            key = op.get("write") or op["remove"]
+            kind = key[: key.rfind("/") + 1] or key
+            self.answers_lost[kind] = self.answers_lost.get(kind, 0) + 1
+
     async def _later(self, data: Any) -> None:
         """A transaction that nobody hears of any more; in an outage nothing is carried out."""
         await asyncio.sleep(self.world.rng.uniform(*self.late[2]))
@@ -131,6 +146,12 @@
             self.world.spawn(self._later(data))
             await asyncio.sleep(SILENT_S)
             return None
+        if parts.path == "/commit" and self._loses_answer():
+            status, _ = await self._execute(source, method, parts, query, data)
+            if status == 200:
+                self._count_lost(data)
+            await asyncio.sleep(SILENT_S)
+            return None
         took, until = self.slow
         if self.world.now < until and parts.path != "/changes":
             # Before or after it is executed: what is given up may be applied all the same.
--- a/src/chalkgrade/region/troubles.py
+++ b/src/chalkgrade/region/troubles.py
@@ -4,14 +4,18 @@
 from typing import Any
 
 from chalkgrade import constants
+from chalkgrade.region.askers import Askers
 from chalkgrade.region.cloud import Cloud
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.store import Store
-from chalkgrade.region.users import Users
 from chalkgrade.region.worker import Worker
+from chalkgrade.state.leadership import LEADER_KEY
 
+NEXT_S = 0.01  # s; between two looks at whether a new leader has begun
+NEXT_WITHIN_S = 1.0  # s; within which it gets the copies that were kept for it
 
-class Troubles(Users):
+
+class Troubles(Askers):
     """Crashes, cuts, silences and outages over a region's controllers, machines and services."""
 
     KINDS = 17  # of trouble that are drawn
@@ -21,6 +25,7 @@
         self.store, self.cloud = Store(self), Cloud(self)
         self.workers: dict[str, Worker] = self.cloud.workers
         self.storm_until = 0.0
+        self.given, self.given_until = 0, 0.0  # kept copies that a new leader got; until when
         self.flapped_until = 0.0  # when a process of a loop of crashes was last started
 
     def leaders(self) -> list[str]:
@@ -59,7 +64,11 @@
         until, _, (_, most) = store.late
         held = until > 0 and now < until + most
         lasting = held or now < max(self.copies[0], self.flapped_until)
-        return cut or state or frozen or down or lasting
+        copied = now < max(self.keeps[0], self.given_until)
+        mute = any(until > now for until in self.muted.values())
+        users = now < max(self.at_end[0], self.odd_until, self.close_until)
+        quick = now < max(self.cloud.quick_until, store.unanswered[0])
+        return cut or state or frozen or down or lasting or copied or mute or users or quick
 
     async def election(self, times: int, every: float) -> None:
         """Restarts within a fraction of a second at every step of finding a leader; s."""
@@ -76,6 +85,35 @@
         """These machines' reports arrive, but nothing that is sent to them does."""
         self.cut({*self.members, "users"}, names, seconds, False, one_way=True)
 
+    def mute(self, names: set[str], seconds: float) -> None:
+        """These machines reach no controller; what controllers ask or tell them arrives."""
+        self.muted |= dict.fromkeys(sorted(names), self.now + seconds)
+
+    async def keep_for_next(self, seconds: float, share: float) -> None:
+        """Copies of reports reach every controller in the first second of the next leader."""
+        stamp = self._leader_stamp()
+        self.keeps = (self.now + seconds, share)
+        while stamp == self._leader_stamp() or not self._leader_stamp():
+            await asyncio.sleep(NEXT_S)
+        self.keeps = (min(self.now, self.keeps[0]), share)
+        self.given_until = self.now + NEXT_WITHIN_S
+        kept, self.kept = self.kept, {}
+        for source, bodies in kept.items():
+            for body in bodies:
+                for member in self.members:
+                    self.spawn(self.give(source, member, body))
+
+    def _leader_stamp(self) -> int:
+        """The revision at which the present leader's key was written; 0: nobody leads."""
+        return self.store.keys[LEADER_KEY][1] if LEADER_KEY in self.store.keys else 0
+
+    async def give(self, source: str, member: str, body: Any) -> None:
+        """An old report arrives at a controller while a leader has just begun."""
+        await asyncio.sleep(self.rng.uniform(0.0, NEXT_WITHIN_S))
+        if self.up(member):
+            await self.servers[member](source, "POST", "/hello", body)
+            self.given += 1
+
     def isolate(self, member: str, seconds: float, hold: bool) -> None:
         """A controller without the state service and the others, but with its workers."""
         self.cut({member}, {*self.members, "state"} - {member}, seconds, hold)
@@ -174,13 +212,7 @@
                     raise Broken(f"invented: {name}")
                 continue
             name = self.rng.choice(known)
-            over = self.jobs[name]["over"]
-            answer = await self.ask("GET", f"/v2/runs/{name}", b"")
-            if answer is not None and answer[0] == 404:
-                raise Broken(f"forgotten: {name}")
-            # Two users' answers may cross on their way: only what was over before counts.
-            if answer is not None and answer[0] == 200 and over not in (None, answer[1]["status"]):
-                raise Broken(f"went_back: {name} was {over}, now {answer[1]['status']}")
+            await self.look(name)
 
     async def _take(self, name: str, notice: float) -> None:
         worker = self.workers.get(name)
--- a/src/chalkgrade/region/users.py
+++ b/src/chalkgrade/region/users.py
@@ -82,43 +82,58 @@
         self.jobs[name] |= {"at": self.now, "replicas": set()}
         job = self.jobs[name]
         while True:
-            answer = await self.ask("POST", "/v2/runs", spec)
+            answer = await self.submit(name)
             if answer is not None and answer[0] in (200, 201):
-                self.heard(name, answer[1])
                 break
-            if answer is not None and answer[0] in (400, 422):
-                raise Broken(f"{name} refused: {answer}")
             await asyncio.sleep(1.0)
         job["accepted"] = True
+        self.close_look(name)
         if abort_after is not None:
             await asyncio.sleep(abort_after)
-            while job["over"] is None:
-                job["asked"] = True
-                answer = await self.ask("POST", f"/v2/runs/{name}/abort", b"")
-                if answer is not None and answer[0] == 200:
-                    self.heard(name, answer[1])
-                elif answer is not None and answer[0] == 404:
-                    raise Broken(f"forgotten: abort of {name}")
-                await asyncio.sleep(1.0)
+            await self.call_off(name)
         while True:
-            answer = await self.ask("GET", f"/v2/runs/{name}", b"")
+            answer = await self.look(name)
             self.polls += 1
-            if answer is not None and answer[0] == 404:
-                raise Broken(f"forgotten: {name}")
-            told = answer is not None and answer[0] == 200
-            if answer is not None and told:
-                self.heard(name, answer[1])
-            self.questioned(name, told)
+            self.questioned(name, answer is not None and answer[0] == 200)
             if self.rng.random() < 0.1:
-                again = await self.ask("POST", "/v2/runs", spec)
-                if again is not None and again[0] in (400, 422):
-                    raise Broken(f"forgotten: repeated {name} got {again}")
-                if again is not None and again[0] in (200, 201):
-                    self.heard(name, again[1])
+                await self.submit(name)
             # Who knows the end looks again, but not at once: thousands of jobs are over.
             rest = POLL_OVER if job["over"] and self.now > job["over_at"] + POLL_ON_S else POLL
             await asyncio.sleep(self.rng.uniform(*rest))
 
+    # Every question about a job goes through these three, and every answer through the rules.
+
+    async def submit(self, name: str, member: str = "") -> tuple[int, Any] | None:
+        """Submit a job, for the first time or again."""
+        return await self._question(name, "POST", "/v2/runs", self.jobs[name]["spec"], member)
+
+    async def look(self, name: str, member: str = "") -> tuple[int, Any] | None:
+        """Ask for a job's status."""
+        return await self._question(name, "GET", f"/v2/runs/{name}", b"", member)
+
+    async def abort(self, name: str, member: str = "") -> tuple[int, Any] | None:
+        """Ask for a job's end."""
+        return await self._question(name, "POST", f"/v2/runs/{name}/abort", b"", member)
+
+    async def _question(
+        self, name: str, method: str, path: str, body: Any, member: str
+    ) -> tuple[int, Any] | None:
+        asked = self.now
+        answer = await self.ask(method, path, body, member)
+        self.answered(name, asked, answer)
+        return answer
+
+    async def call_off(self, name: str) -> None:
+        """Cancel a job, again and again until it is told that the job is over."""
+        job = self.jobs[name]
+        while job["over"] is None:
+            job["asked"] = True
+            await self.abort(name)
+            await asyncio.sleep(1.0)
+
+    def close_look(self, name: str) -> None:
+        """Something was told of a job, or it ended: some users look at once."""
+
     def earlier(self, spec: dict[str, Any]) -> list[str]:
         """Some accepted jobs, in any state, that a job may wait for."""
         known = [
@@ -143,11 +158,15 @@
                 raise Broken(f"invented: {name}")
             await asyncio.sleep(7.0)
 
-    async def ask(self, method: str, path: str, body: Any) -> tuple[int, Any] | None:
+    async def ask(
+        self, method: str, path: str, body: Any, member: str = ""
+    ) -> tuple[int, Any] | None:
+        """One question to a controller, any that is up where none is named."""
         up = [member for member in self.members if self.up(member)]
         if not up:
             return None
+        member = member or self.rng.choice(up)
         try:
-            return await self.request("users", self.rng.choice(up), method, path, body, 5.0)
+            return await self.request("users", member, method, path, body, 5.0)
         except NoAnswer:
             return None
--- a/src/chalkgrade/region/worker.py
+++ b/src/chalkgrade/region/worker.py
@@ -5,10 +5,13 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import msgspec
+
 from chalkgrade.outside import NoAnswer
 from chalkgrade.region.loop import MEMBER
 from chalkgrade.region.rules import History
 
+WORKER_PORT = 9000
 ANSWER_S = 4.0  # s; an answer that takes longer is dropped; from the protocol
 
 
@@ -99,7 +102,7 @@
         self.seq += 1
         return {
             "host": self.name,
-            "addr": "x:1",
+            "addr": f"{self.name}:{WORKER_PORT}",
             "hosttype": self.machine["hosttype"],
             "site": self.zone,
             "standby": self.machine["standby"],
@@ -119,6 +122,35 @@
             ],
         }
 
+    async def serve(self, source: str, method: str, path: str, body: Any) -> tuple[int, Any] | None:
+        """A direct command or question of a controller; they do not renew the lease."""
+        answer: tuple[int, Any] | None = await self.world.spawn(
+            self._direct(path, body), self.context
+        )
+        return answer
+
+    async def _direct(self, path: str, body: Any) -> tuple[int, Any] | None:
+        if not self.alive:
+            return None
+        if path == "/status":
+            return 200, self.report()
+        data = msgspec.json.decode(body) if body else {}
+        if path != "/do" or "baton" not in data or "tenure" not in data:
+            return 400, {"error": "baton or tenure is missing"}
+        if data["baton"] < self.baton or data["tenure"] != self.tenure:
+            return 409, self.report()
+        if data["baton"] > self.baton:
+            self._obey(data["baton"])
+        for order in data["orders"]:
+            self._execute(order)
+        return 200, self.report()
+
+    def _obey(self, baton: int) -> None:
+        """A higher token was seen."""
+        self.baton = baton
+        self.world.obeyed.setdefault(baton, {})[self.name] = self.world.now
+        self.changed.set()
+
     async def _report_loop(self) -> None:
         world = self.world
         while self.alive:
@@ -135,9 +167,7 @@
                 continue  # it hung meanwhile
             if status == 200 and body.get("baton", -1) >= self.baton and tenure == self.tenure:
                 if body["baton"] > self.baton:
-                    self.baton = body["baton"]
-                    world.obeyed.setdefault(self.baton, {})[self.name] = world.now
-                    self.changed.set()
+                    self._obey(body["baton"])
                 self.lease_from = max(self.lease_from, sent)
                 for order in body["orders"]:
                     self._execute(order)
--- a/src/chalkgrade/region/world.py
+++ b/src/chalkgrade/region/world.py
@@ -14,6 +14,7 @@
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.troubles import Troubles
 from chalkgrade.region.versions import Version
+from chalkgrade.region.worker import WORKER_PORT
 from chalkgrade.serving.node import Node
 from chalkgrade.settings import Settings
 
@@ -35,7 +36,8 @@
         self, addr: str, method: str, path: str, body: bytes | None, timeout: float
     ) -> Reply:
         self._check()
-        kind = {"1": "state", "2": "cloud"}.get(addr.rpartition(":")[2], "licences")
+        host, _, port = addr.rpartition(":")
+        kind = {"1": "state", "2": "cloud", str(WORKER_PORT): host}.get(port, "licences")
         try:
             status, answer = await self.world.request(
                 self.member, kind, method, path, body or b"", timeout
@@ -82,7 +84,9 @@
     # -- controllers ------------------------------------------------------------------
 
     def up(self, target: str) -> bool:
-        return target not in self.epochs or self.nodes[target] is not None
+        if target in self.epochs:
+            return self.nodes[target] is not None
+        return target in self.servers
 
     def leaders(self) -> list[str]:
         return [m for m, node in self.nodes.items() if node is not None and node.leadership.token]
--- a/tests/test_region.py
+++ b/tests/test_region.py
@@ -85,3 +85,32 @@
     assert str(file) in result.output and said.replace("`", "") in result.output
     missing = CliRunner().invoke(main, ["play", str(tmp_path / "none.toml")])
     assert missing.exit_code == 2 and "No such file" in missing.output
+
+
+FAULT = "[[faults]]\nat = 3.0\nkind = "
+
+
+@pytest.mark.parametrize(
+    ("section", "said"),
+    [
+        (FAULT + "'cancel_now'\nhang_s = -1.0", "faults[0].hang_s: must be 0 to 3600, is -1"),
+        (FAULT + "'cancel_now'\nhang_s = 'long'", "faults[0].hang_s: expected `float`"),
+        (FAULT + "'cancel_now'\ncount = 0", "faults[0].count: must be 1 or more, is 0"),
+        (FAULT + "'hang'\nhang_s = 3.0", "faults[0].hang_s: only cancel_now may have it, not hang"),
+        (FAULT + "'copies'\nat_once = true", "faults[0].at_once: only late_writes may have it"),
+        (FAULT + "'late_writes'\nfor_next = true", "faults[0].for_next: only copies may have it"),
+        (FAULT + "'copies'\nfor_next = 'yes'", "faults[0].for_next: expected `bool`"),
+        (FAULT + "'cancel_at_end'\nshare = 1.5", "faults[0].share: must be over 0 and at most 1"),
+        (FAULT + "'mute'\nzone = 'x'", "faults[0].zone: 'x' is not one of"),
+        (FAULT + "'close_looks'\nseconds = 0.0", "faults[0].seconds: must be 0.05 or more"),
+        (FAULT + "'odd_requests'\nwhat = 1", "faults[0].what: unknown"),
+        (FAULT + "'quick_boot'", "faults[0].kind: invalid enum value 'quick_boot'"),
+    ],
+)
+def test_wrong_troubles_are_one_plain_line(section: str, said: str, tmp_path: Path) -> None:
+    file = tmp_path / "day.toml"
+    file.write_text(EXAMPLE.read_text().partition("[[faults]]")[0] + section)
+    result = CliRunner().invoke(main, ["play", str(file)])
+    assert result.exit_code == 2
+    assert len(result.output.strip().splitlines()) == 1
+    assert said.replace("`", "") in result.output
