--- a/src/chalkgrade/region/cloud.py
+++ b/src/chalkgrade/region/cloud.py
@@ -24,6 +24,7 @@
         self.workers: dict[str, Worker] = {}  # of machines that are up
         self.rented: list[tuple[float, list[str]]] = []  # which machines were, and when
         self.spent = 0.0  # money, for machines that are gone
+        self.boots: list[tuple[float, float]] = []  # when machines came up, and after how long
         self.quick_until = 0.0  # machines rented until then are up within a second or two
         self.boot_trouble = (0.0, 1.0, 0.0)  # share that never comes, times as slow, until when
 
@@ -133,6 +134,7 @@
         usual = flavor["bootS"] * factor * self.world.rng.uniform(0.2, 1.8)
         await asyncio.sleep(self.world.rng.uniform(*QUICK_S) if quick else usual)
         if name in self.machines:
+            self.boots.append((self.world.now, self.world.now - self.machines[name]["born"]))
             self._up(name, flavor)
 
     def remove(self, name: str) -> None:
--- a/src/chalkgrade/region/fleet.py
+++ b/src/chalkgrade/region/fleet.py
@@ -292,6 +292,8 @@
         "could_team": {key: round(v, 3) for key, v in world.could("owner").items()},
         "largest_begin_s": {key: round(v, 1) for key, v in world.largest_begin().items()},
         "silent_s_max": round(world.silent_most, 1),
+        "idle_room_s_max": round(world.idle.most, 1),
+        "starts_after_cancel": world.starts_after_cancel,
         "wait_s_p50": {key: round(percentile(v, 0.5), 2) for key, v in sorted(waits.items())},
         "wait_s_p95": {key: round(percentile(v, 0.95), 2) for key, v in sorted(waits.items())},
         "machines_rented": world.cloud.number,
--- a/src/chalkgrade/region/rules.py
+++ b/src/chalkgrade/region/rules.py
@@ -52,6 +52,8 @@
         self.silent_most = 0.0  # s; the longest for which a job's questions met silence
         self.used: set[str] = set()  # machines that were given work
         self.stops: list[float] = []  # when work was stopped that nobody had aborted
+        self.failures: dict[str, int] = {}  # job -> attempts of it that failed
+        self.starts_after_cancel = 0  # after a user was told that the job is cancelled
         self.lease_ends = 0  # tasks that a lease's end has killed
         self.tool: Any = None  # a licensed tool that counts its seats, where there is one
         self.starts: list[tuple[float, int]] = []  # when tasks started, and under which token
@@ -78,7 +80,10 @@
         self._of_job.setdefault(task.spec["nameId"], {})[task] = worker
         self._used[owner] = self._used.get(owner, 0.0) + task.spec["vcpus"]
         self.starts.append((self.now, worker.baton))
-        self.jobs[task.spec["nameId"]].setdefault("first", self.now)
+        job = self.jobs[task.spec["nameId"]]
+        job.setdefault("first", self.now)
+        job["entered"] = job.get("entered", 0) + 1
+        self.starts_after_cancel += job["aborted"] is not None
 
     def leave(self, task: Started) -> None:
         """It is gone from its machine, if it was there."""
@@ -89,6 +94,10 @@
             self._of_job[task.spec["nameId"]].pop(task)
             self._used[task.spec["owner"]] -= task.spec["vcpus"]
 
+    def limit(self, owner: str) -> float:
+        """CPUs that a team may use at most; 0: any number."""
+        return float(self._teams[owner].cpus_max)
+
     # -- rules ----------------------------------------------------------------------
 
     def check_start(self, worker: Host, task: Started) -> None:
--- a/src/chalkgrade/region/troubles.py
+++ b/src/chalkgrade/region/troubles.py
@@ -32,6 +32,10 @@
         """Who holds the lead by its own word."""
         raise NotImplementedError
 
+    def standing(self, jobclass: str) -> str:
+        """Why a class waits, in the leader's own words: for people, no rule goes by it."""
+        raise NotImplementedError
+
     def crash(self, member: str) -> None:
         """End a controller without a signal."""
         raise NotImplementedError
--- a/src/chalkgrade/region/worker.py
+++ b/src/chalkgrade/region/worker.py
@@ -296,6 +296,9 @@
         if task.began:
             self._save(task)
         task.status, task.cause = "ended", cause
+        if cause == "error":
+            failures = self.world.failures
+            failures[task.spec["nameId"]] = failures.get(task.spec["nameId"], 0) + 1
         self._gone(task)
         current = asyncio.current_task()
         for timer in task.timers:
--- a/src/chalkgrade/region/world.py
+++ b/src/chalkgrade/region/world.py
@@ -10,6 +10,7 @@
 
 from chalkgrade.membership.presence import MEMBERS_PREFIX
 from chalkgrade.outside import NoAnswer, Reply
+from chalkgrade.region.idle import IdleRoom
 from chalkgrade.region.loop import MEMBER, Clock, VirtualLoop
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.troubles import Troubles
@@ -17,6 +18,7 @@
 from chalkgrade.region.worker import WORKER_PORT
 from chalkgrade.serving.node import Node
 from chalkgrade.settings import Settings
+from chalkgrade.sharing.standing import line
 
 
 class _Http:
@@ -74,6 +76,7 @@
         self.contexts: dict[str, contextvars.Context] = {}
         self.last_nodes: list[Node] = []  # those that have ended, for their counts
         self.peer_messages = 0
+        self.idle = IdleRoom(self)
         self.seen: dict[str, int] = {}  # suspicions and verdicts, of all controllers
         self.false_verdicts = 0  # of controllers that were up, reached and registered
         self.servers["state"] = lambda *request: self.store.handle(*request)
@@ -91,6 +94,17 @@
     def leaders(self) -> list[str]:
         return [m for m, node in self.nodes.items() if node is not None and node.leadership.token]
 
+    def standing(self, jobclass: str) -> str:
+        for member in self.leaders():
+            node = self.nodes[member]
+            term = node.term if node is not None else None
+            if term is not None:
+                rows = {
+                    key: n for key, n in term.scheduling.standing().items() if key[0] == jobclass
+                }
+                return f"{member}: {line(rows) or 'nothing waits'}"
+        return "nobody leads"
+
     def boot(self, member: str, home: str | None = None) -> None:
         """Start a process of that name, on the controller's own machine if not said."""
         home = f"home of {member}" if home is None else home
@@ -160,6 +174,7 @@
             self.check_all_cancelled()
             if self.troubled():
                 self.calm_from = self.now
+            self.idle.look()
             await asyncio.sleep(0.25)
 
 
