Answers to users: one place decides, and open commits are looked at first

Cause: answers came from memory that a commit, executed and not yet answered, had made old.

Change: record/fates.py keeps the keys of commits that are under way, by job; Term.account names them; serving/telling.py decides for status, submission, repetition, abort and waitsOn: it reads just those keys, record first and end last, before it refuses.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -214,6 +214,7 @@
 INTAKE_DEADLINE_S: Final = 4.0  # s; users give up at 5 s
 QUERY_DEADLINE_S: Final = 1.6  # s; users wait 2 s for a poll
 LOOKUP_LANES: Final = 3  # requests for questions at once: one lost answer must not hold up all
+ROWS_WAITING: Final = 64  # keys to be read for questions; more would wait over QUERY_DEADLINE_S
 FINAL_CACHE: Final = 20_000  # final states kept in memory on each node
 RETRY_AFTER_S: Final = 1  # s; what a user is told when nothing can be decided
 # Parts of the sockets that the platform allows, so that they fit a fleet of any size.
--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -24,7 +24,8 @@
 from chalkgrade.pipelines.part import Pipelines
 from chalkgrade.record import apart
 from chalkgrade.record.book import Book
-from chalkgrade.record.jobs import Attempt, Job, JobSpec, JobValue
+from chalkgrade.record.fates import Account
+from chalkgrade.record.jobs import JOB_PREFIX, Attempt, Job, JobSpec, JobValue
 from chalkgrade.record.writer import Writer
 from chalkgrade.renting.cloud import Cloud
 from chalkgrade.renting.joint import Joint
@@ -171,18 +172,22 @@
         """Whether this term may answer for the present."""
         return self.ready and self.leadership.acting()
 
-    def status(self, name: str) -> dict[str, Any] | None:
-        """A job's present state; None when the book does not have it."""
+    def account(self, name: str) -> Account:
+        """A job's present state, and the keys of open commits that may have changed it."""
         if not self.live():
             raise Unavailable
         job = self.jobs.get(name)
-        if job is None:
-            if name in self.book.admissions:
-                raise Unavailable  # another node may have read it in the record already
-            return None
-        if job.aborting or not self.pipelines.sure(job):
-            raise Unavailable  # as may be that it is cancelled
-        return job.status()
+        keys = self.writer.fates.of(name)
+        if job is not None and job.aborted:
+            return Account(job.status())  # nothing that is open makes it anything else
+        if job is not None:
+            if not self.pipelines.sure(job):
+                raise Unavailable  # as may be that it is cancelled
+            return Account(job.status(), keys)
+        if name in self.book.admissions:
+            # Whatever commit of ours it waits for, another node may have accepted it too.
+            keys.append(JOB_PREFIX + name)
+        return Account(None, keys)
 
     def knows(self, name: str) -> bool:
         """Whether a job is on record under this token."""
@@ -201,14 +206,20 @@
         return await self.book.admit(value, constants.PEER_TIMEOUT_S)
 
     async def abort(self, name: str) -> str | None:
-        """Abort a job; its final state, or None when the book does not have it."""
+        """Abort a job; its final state, or None when the book does not have it.
+
+        One whose admission is open is waited for: others may have read that it is accepted.
+        """
         if not self.live():
             raise Unavailable
+        deadline = self.clock.now() + constants.INTAKE_DEADLINE_S
+        while name in self.book.admissions and name not in self.jobs:
+            if not await self.book.committed.wait(deadline - self.clock.now()) or not self.live():
+                raise Unavailable
         job = self.jobs.get(name)
         if job is None:
-            return None
+            return self.book.over.get(name)
         self.book.abort(job)
-        deadline = self.clock.now() + constants.INTAKE_DEADLINE_S
         while self.live():
             if job.aborted:
                 return "withdrawn"
--- a/src/chalkgrade/record/book.py
+++ b/src/chalkgrade/record/book.py
@@ -198,21 +198,21 @@
     async def admit(self, value: JobValue, timeout: float) -> bool:
         """Make a submission durable with others, in one change for all of them.
 
-        False when the job is known already. An answer that does not come in
-        time leaves open whether the job was accepted.
+        True only for whoever brought it, and made it: nobody was told of the job before. Else
+        it is known: what is true of it is to be asked. NoAnswer leaves open whether it is.
         """
         name = value.spec.nameId
-        admission = self.admissions.get(name)
+        if name in self.jobs or name in self.over:
+            return False  # also one whose commit here is open: known by a record of its own
+        known = admission = self.admissions.get(name)
         if admission is None:
-            if name in self.jobs or name in self.over:
-                return False
             future = asyncio.get_running_loop().create_future()
             admission = self.admissions[name] = Admission(value, apart.record(value), future)
             self.admit_wanted.set()
         done, _ = await asyncio.wait({admission.result}, timeout=timeout)
         if not done:
             raise NoAnswer("not durable in time")
-        return admission.result.result()
+        return known is None and admission.result.result()
 
     def abort(self, job: Job) -> None:
         """Have a job's abort written; nothing of it is started from now on, what runs is stopped.
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -14,6 +14,7 @@
 from chalkgrade.outside import NoAnswer
 from chalkgrade.record.book import Book
 from chalkgrade.record.changes import Batch, Change, Write
+from chalkgrade.record.fates import Fates
 from chalkgrade.record.jobs import END_PREFIX, JOB_PREFIX, JobValue
 from chalkgrade.state.leadership import LEADER_KEY
 from chalkgrade.state.ledger import Conflict, NotExecuted, Rejected
@@ -31,6 +32,7 @@
         self.office = office
         self.book = book
         self.ledger = office.ledger
+        self.fates = Fates()  # of the commits that are under way
 
     def collect(self) -> tuple[list[Change], Edits]:
         """The next commit's changes: as many as a commit may hold and the budget has now."""
@@ -99,6 +101,7 @@
         """One commit, and what follows from it."""
         for batch in edits:
             batch.busy = True
+        self.fates.begin(changes)
         try:
             revision = await self._commit(changes, edits)
         finally:
@@ -111,7 +114,10 @@
                     self.book.batches.pop(batch.key, None)
             for change in changes:
                 change.done(revision)
-            self.book.committed.fire()
+        # In one step with what it changed: in between, an answer would be the old one. A term
+        # that ends within a commit leaves it open.
+        self.fates.known(changes)
+        self.book.committed.fire()
         self.book.flush_wanted.set()  # ends may have waited for a batch
 
     async def _commit(self, changes: list[Change], edits: Edits) -> int:
--- a/src/chalkgrade/serving/intake.py
+++ b/src/chalkgrade/serving/intake.py
@@ -34,6 +34,7 @@
 )
 from chalkgrade.serving.naming import Naming
 from chalkgrade.serving.reading import LATER, UNKNOWN, Answer, Reading
+from chalkgrade.serving.telling import FINAL, OPEN, Telling
 from chalkgrade.settings import Settings
 from chalkgrade.state.leadership import LEADER_KEY, Leadership
 from chalkgrade.state.ledger import Compacted, Conflict, Ledger, NotExecuted, Rejected
@@ -41,6 +42,10 @@
 log = logging.getLogger("chalkgrade.intake")
 
 
+# A submission that is not to be committed once more, of a job that nothing can be said of now.
+KNOWN_LATER: Answer = (503, LATER[1] | {"known": True})
+
+
 class PeerAnswer(msgspec.Struct):
     """What a controller answers to another: an HTTP status and body."""
 
@@ -77,7 +82,8 @@
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.finals: OrderedDict[str, dict[str, Any]] = OrderedDict()
         self.reading = Reading(ledger, self.finals, self.remember, self.counts)
-        self.naming = Naming(ledger, self.finals, self.reading.fresh)
+        self.telling = Telling(self.reading, self.finals, self._state)
+        self.naming = Naming(ledger, self.finals, self.reading.fresh, self.telling.tell)
 
     def remember(self, name: str, status: str, done: int) -> dict[str, Any]:
         """Keep a final state: it never changes, so any node may repeat it."""
@@ -155,7 +161,7 @@
             return 200, known
         try:
             async with asyncio.timeout(constants.INTAKE_DEADLINE_S):
-                return await self._submit(spec, body)
+                return self.telling.latest(await self._submit(spec, body))
         except TimeoutError:
             return LATER
 
@@ -172,7 +178,7 @@
             answer = await self.admit(spec)
         else:
             answer = await self._from_leader("submit", body.decode(), constants.PEER_TIMEOUT_S)
-        if answer[0] != 503:
+        if answer[0] != 503 or answer[1].get("known"):
             return answer
         try:
             return await self.accept(spec)
@@ -206,12 +212,15 @@
         if refused is not None or self.term is None:
             return refused or LATER
         try:
-            if await self.term.submit(spec):
-                return 201, {"nameId": spec.nameId, "status": "pending"}
+            made = await self.term.submit(spec)
         except (Unavailable, NoAnswer, NotExecuted, Rejected):
             return LATER
+        # Accepted: what has become of it by now is told, as to all. Where that can't be known,
+        # whoever brought the job asked before anybody could be told of it: it is pending.
         status, known = await self.query(spec.nameId)
-        return status if status != 404 else 503, known
+        if made:
+            return 201, known if status == 200 else {"nameId": spec.nameId, "status": "pending"}
+        return (200, known) if status == 200 else KNOWN_LATER
 
     async def accept(self, spec: JobSpec) -> Answer:
         """Commit a submission, if the job is not known."""
@@ -234,13 +243,20 @@
                 return status if status != 404 else 503, known
             except Rejected as error:
                 return await self._unless_known(name, (400, {"error": f"can't be kept: {error}"}))
-            except (NotExecuted, NoAnswer):
+            except NotExecuted:
                 if attempt:
                     raise
                 await asyncio.sleep(0.1)
+            except NoAnswer:
+                # Executed or not: where the record has the job, that is an answer all the same.
+                status, known = await self.telling.settle(name, LATER)
+                if status == 200:
+                    return 201, known
+                if attempt:
+                    raise
             else:
                 # The leader may hold it in a batch, aborted even: say what is true of it.
-                status, known = await self.reading.read(name, led=False)
+                status, known = await self.telling.settle(name, LATER)
                 return (201, known) if status == 200 else LATER
         return LATER
 
@@ -248,23 +264,13 @@
 
     async def query(self, name: str) -> Answer:
         """GET /v2/runs/{id}."""
-        known = self.finals.get(name)
-        if known is not None:
-            return 200, known
         if not is_id(name):
             return UNKNOWN
-        answer = await self._from_leader("status", name, constants.PEER_TIMEOUT_S / 2)
-        if answer[0] == 200:
-            return answer
-        return await self._look_up(name, led=answer[0] == 404)
+        return await self.telling.tell(name)
 
-    async def _look_up(self, name: str, led: bool) -> Answer:
-        """What the state service says of a job; `led`: the leader has just not known it."""
-        try:
-            async with asyncio.timeout(constants.QUERY_DEADLINE_S):
-                return await self.reading.read(name, led)
-        except (TimeoutError, NoAnswer, NotExecuted, Rejected, msgspec.DecodeError):
-            return LATER
+    async def _state(self, name: str) -> Answer:
+        """What the leader says of a job's state."""
+        return await self._from_leader("status", name, constants.PEER_TIMEOUT_S / 2)
 
     async def _from_leader(self, what: str, name: str, timeout: float) -> Answer:
         """Ask the leader, wherever it is: 404 here only means that its book lacks the job."""
@@ -274,13 +280,15 @@
         if leader is None or leader == self.settings.member or not self.answers(leader):
             return LATER
         answer = await self._ask(leader, what, name, timeout)
-        if answer[0] == 200 and answer[1].get("status") in ("done", "withdrawn"):
+        if answer[0] == 200 and answer[1].get("status") in FINAL:
             self.remember(name, answer[1]["status"], answer[1].get("done", 0))
-        elif answer[0] == 200 and what == "status":
-            self.counts[name] = answer[1]
-            self.counts.move_to_end(name)
-            while len(self.counts) > constants.FINAL_CACHE:
-                self.counts.popitem(last=False)
+        elif what == "status":
+            told = answer[1].get("told") if answer[0] == OPEN else answer[1]
+            if answer[0] in (200, OPEN) and told is not None:
+                self.counts[name] = told
+                self.counts.move_to_end(name)
+                while len(self.counts) > constants.FINAL_CACHE:
+                    self.counts.popitem(last=False)
         return answer
 
     def answers(self, member: str) -> bool:
@@ -302,8 +310,10 @@
             return LATER
         try:
             if what == "status":
-                status = term.status(name)
-                return (200, status) if status is not None else UNKNOWN
+                account = term.account(name)
+                if account.open:
+                    return OPEN, msgspec.to_builtins(account)
+                return (200, account.told) if account.told is not None else UNKNOWN
             final = await term.abort(name)
             return (200, {"nameId": name, "status": final}) if final is not None else UNKNOWN
         except Unavailable:
@@ -317,12 +327,12 @@
         if not is_id(name):
             return UNKNOWN
         answer = await self._from_leader("abort", name, constants.INTAKE_DEADLINE_S)
-        if answer[0] != 404:
-            return answer
-        status, known = await self._look_up(name, led=True)
-        if status == 200 and known["status"] not in ("done", "withdrawn"):
+        if answer[0] == 404:
+            answer = await self.telling.settle(name, answer)
+        answer = self.telling.latest(answer)
+        if answer[0] == 200 and answer[1]["status"] not in FINAL:
             return LATER  # accepted just now: the leader has yet to learn of it
-        return status, known
+        return answer
 
     async def _ask(self, leader: str, what: str, arg: str, timeout: float) -> Answer:
         try:
--- a/src/chalkgrade/serving/naming.py
+++ b/src/chalkgrade/serving/naming.py
@@ -10,7 +10,7 @@
 from chalkgrade.leading.term import Term
 from chalkgrade.outside import NoAnswer
 from chalkgrade.record.jobs import END_PREFIX, JOB_PREFIX
-from chalkgrade.serving.reading import Mark
+from chalkgrade.serving.reading import Answer, Mark
 from chalkgrade.state.ledger import Ledger
 
 SERVICE = "service"
@@ -27,10 +27,12 @@
         ledger: Ledger,
         finals: Mapping[str, Mapping[str, Any]],
         records: Records,
+        tell: Callable[[str], Awaitable[Answer]],
     ) -> None:
         self.ledger = ledger
         self.finals = finals  # final states that are known here
         self.records = records
+        self.tell = tell  # a job's state, as users hear it
 
     async def refusal(self, names: list[str], term: Term | None) -> str | None:
         """Why these can't be waited for, or None; NoAnswer where that can't be known now.
@@ -42,8 +44,14 @@
             jobs = term.jobs
             shapes: dict[str, str] = {name: jobs[name].spec.shape for name in names if name in jobs}
             known = shapes.keys() | term.book.over.keys()
-            if any(name in term.book.admissions and name not in known for name in names):
-                raise NoAnswer("one of them is being accepted")
+            for name in names:
+                admission = term.book.admissions.get(name)
+                if admission is None or name in known:
+                    continue
+                if (await self.tell(name))[0] != 200:
+                    raise NoAnswer("one of them is being accepted")
+                shapes[name] = admission.value.spec.shape
+            known |= shapes.keys()
         else:
             marks = await self.records()
             shapes = {name: marks[name].spec.shape for name in names if name in marks}
--- a/src/chalkgrade/serving/reading.py
+++ b/src/chalkgrade/serving/reading.py
@@ -5,16 +5,17 @@
 """
 
 import asyncio
-from collections.abc import Mapping, MutableMapping
+from collections.abc import Iterable, Mapping
 from typing import Any, Protocol
 
 import msgspec
 
+from chalkgrade import constants
 from chalkgrade.outside import NoAnswer
 from chalkgrade.record import apart
 from chalkgrade.record.jobs import BATCH_PREFIX, END_PREFIX, JOB_PREFIX, EndValue
 from chalkgrade.serving.lookups import Lookups
-from chalkgrade.state.ledger import Ledger
+from chalkgrade.state.ledger import Ledger, Row
 
 Answer = tuple[int, dict[str, Any]]
 LATER: Answer = (503, {"error": "can't be decided now, come back"})
@@ -60,7 +61,7 @@
         ledger: Ledger,
         finals: Mapping[str, Mapping[str, Any]],
         remember: Finals,
-        counts: MutableMapping[str, dict[str, Any]],
+        counts: Mapping[str, dict[str, Any]],
     ) -> None:
         self.ledger = ledger
         self.finals = finals  # final states that are known here
@@ -69,6 +70,7 @@
         self.lookups = Lookups(ledger)
         self.reading: asyncio.Task[dict[str, Mark]] | None = None
         self.next_reading: asyncio.Task[dict[str, Mark]] | None = None
+        self._rows: dict[str, asyncio.Task[Row | None]] = {}  # reads that have yet to begin
 
     async def read(self, name: str, led: bool) -> Answer:
         """A fresh read: the end last, since what is looked at before turns into it atomically.
@@ -103,6 +105,63 @@
             return await self.read(name, led=False)  # all records are needed to know of it
         return 200, await self._live_answer(mark, {name: mark})
 
+    async def settle(self, name: str, told: dict[str, Any] | None, keys: Iterable[str]) -> Answer:
+        """What is true where commits of the leader are open, by the keys that would show them.
+
+        `told`: what the leader says; it stands if none of them was executed by now. As in
+        `read`, the end comes last: a record that is gone, or does not say so, turned into it.
+        """
+        doubtful = told is None
+        for key in dict.fromkeys(keys):
+            if key == END_PREFIX + name:
+                doubtful = True
+                continue
+            mark = await self._mark(name, key)
+            if mark is not None and mark.aborted:
+                return 200, self.remember(name, "withdrawn", 0)
+            if mark is not None and told is None:
+                if mark.waits:
+                    return await self.read(name, led=False)  # all records are needed
+                told = await self._live_answer(mark, {name: mark})
+            doubtful = doubtful or mark is None or mark.doubtful
+        if doubtful:
+            row = await self._row(END_PREFIX + name)
+            if row is not None:
+                end = msgspec.json.decode(row.v, type=EndValue)
+                return 200, self.remember(name, end.status, end.tasks)
+        return LATER if told is None else (200, told)
+
+    async def _mark(self, name: str, key: str) -> Mark | None:
+        """A job's record under a key: its own, or a batch."""
+        row = await self._row(key)
+        if row is None:
+            return None
+        if not key.startswith(BATCH_PREFIX):
+            return msgspec.json.decode(row.v, type=Mark)
+        marks = msgspec.json.decode(row.v, type=Marks).jobs
+        mark = next((mark for mark in marks if mark.spec.nameId == name), None)
+        if mark is not None:
+            mark.doubtful = len(row.v) > self.ledger.limits.value_b
+        return mark
+
+    async def _row(self, key: str) -> Row | None:
+        """One key, read after this call; all who ask before the read begins share it."""
+        read = self._rows.get(key)
+        if read is None:
+            if len(self._rows) >= constants.ROWS_WAITING:
+                raise NoAnswer("too many questions")
+            read = self._rows[key] = asyncio.create_task(self._get(key))
+            # All who waited may have given up: a failure is nobody's then.
+            read.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await asyncio.shield(read)
+
+    async def _get(self, key: str) -> Row | None:
+        try:
+            await self.ledger.asking.wait()
+        finally:
+            del self._rows[key]
+        return await self.ledger.get(key)
+
     async def _live_answer(self, mark: Mark, marks: Mapping[str, Mark]) -> dict[str, Any]:
         """What is told of a job that is on record and not over."""
         name = mark.spec.nameId
