--- a/src/chalkgrade/serving/reading.py
+++ b/src/chalkgrade/serving/reading.py
@@ -34,7 +34,7 @@
     spec: _Name
     aborted: bool = False
     apart: tuple[str, int] | None = None
-    doubtful: bool = False  # its batch may hold jobs that are over: their ends say so
+    doubtful: bool = False  # it may be over all the same: its end says so
 
     @property
     def waits(self) -> bool:
@@ -188,21 +188,24 @@
         # One read for all of them is taken from what questions may take.
         await self.ledger.asking.wait()
         self.reading, self.next_reading = self.next_reading, None
-        marks: list[Mark] = []
         rows, _ = await self.ledger.scan(JOB_PREFIX)
-        marks += [msgspec.json.decode(row.v, type=Mark) for row in rows]
+        own = [msgspec.json.decode(row.v, type=Mark) for row in rows]
+        out = {mark.spec.nameId: mark for mark in own}
+        alone = dict(out)
         rows, _ = await self.ledger.scan(BATCH_PREFIX)
         for row in rows:
-            found = msgspec.json.decode(row.v, type=Marks).jobs
-            for mark in found:
+            for mark in msgspec.json.decode(row.v, type=Marks).jobs:
                 mark.doubtful = len(row.v) > self.ledger.limits.value_b
-            marks += found
-        out: dict[str, Mark] = {}
-        for mark in marks:
-            twin = out.setdefault(mark.spec.nameId, mark)
-            # A record of its own is removed with the end: while it is there, nothing is over.
-            twin.aborted = twin.aborted or mark.aborted
-            twin.doubtful = twin.doubtful and mark.doubtful
+                twin = out.setdefault(mark.spec.nameId, mark)
+                # A record of its own is removed with the end: while it is there, and its
+                # batch's record after it, nothing was over.
+                twin.aborted = twin.aborted or mark.aborted
+                twin.doubtful = twin.doubtful and mark.doubtful
+                alone.pop(mark.spec.nameId, None)
+        for mark in alone.values():
+            # A batch may have said that it is aborted, and both are gone since (found on the
+            # bench, where answers were lost and so many jobs had two records).
+            mark.doubtful = True
         return out
 
     async def cancelled(self, name: str, marks: Mapping[str, Mark]) -> bool:
