Answers: what a lost comparison would tell is read key by key; exact tests of open commits

Change: after the usual time of an answer the keys themselves are read, own ones first, ends last, of as many jobs as the budget has room for. tests/test_answers.py: five exact stories of one commit whose answer is lost (batch, end, abort, abort by an own record beside an open batch, abort by a batch beside an own record); who can't ask the leader reads it, then all must say so while it is open. Six bugs put in on purpose are found by them, among them 404 for an open admission.

--- a/src/chalkgrade/serving/lookups.py
+++ b/src/chalkgrade/serving/lookups.py
@@ -7,12 +7,15 @@
 """
 
 import asyncio
+import logging
 
 from chalkgrade import constants
 from chalkgrade.outside import NoAnswer
 from chalkgrade.record.jobs import END_PREFIX, JOB_PREFIX
 from chalkgrade.state.ledger import Ledger, NotExecuted, Rejected
 
+log = logging.getLogger("chalkgrade.lookups")
+
 
 class Lookups:
     """One node's; what does not fit the next two requests is refused at once."""
@@ -51,12 +54,41 @@
             names = list(self._waiting)[: self._most]
             futures = {name: self._waiting.pop(name) for name in names}
             keys = [prefix + name for name in names for prefix in (JOB_PREFIX, END_PREFIX)]
+            compared = asyncio.create_task(self._ledger.present(keys))
             try:
-                found = await self._ledger.present(keys)
+                done, _ = await asyncio.wait({compared}, timeout=self._ledger.hedge_s())
+                if not done:
+                    await self._singly(futures)
+                found = await compared if futures else set()
             except (NoAnswer, NotExecuted, Rejected) as error:
                 for future in futures.values():
                     future.set_exception(error)
                     future.exception()  # all who asked may have given up
                 continue
+            finally:
+                if not compared.cancel() and not compared.cancelled():
+                    compared.exception()  # seen: all were read singly meanwhile
             for name, future in futures.items():
                 future.set_result(found & {JOB_PREFIX + name, END_PREFIX + name})
+
+    async def _singly(self, futures: dict[str, asyncio.Future[set[str]]]) -> None:
+        """Read the keys themselves, of as many jobs as the budget has room for just now.
+
+        A comparison is a transaction, and where answers of those are lost a question would
+        wait for its time-out; reads are answered. The end comes last, as in `Reading.read`.
+        """
+        ledger = self._ledger
+        room = min(ledger.asking.level(), ledger.requests.level() - constants.HEDGE_READS)
+        names = list(futures)[: max(0, int(room) // 2)]
+        if not names or not ledger.asking.take(2 * len(names)):
+            return
+        found: set[str] = set()
+        try:
+            for prefix in (JOB_PREFIX, END_PREFIX):
+                rows = await asyncio.gather(*(ledger.get(prefix + name) for name in names))
+                found |= {row.k for row in rows if row is not None}
+        except (NoAnswer, NotExecuted) as error:
+            log.debug("looking up jobs one by one: %s", error)
+            return  # the comparison is still under way
+        for name in names:
+            futures.pop(name).set_result(found & {JOB_PREFIX + name, END_PREFIX + name})
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
 import pytest
 
 from chalkgrade.leading.term import Term
@@ -16,11 +17,12 @@
 from chalkgrade.record.book import Book
 from chalkgrade.record.changes import Admission, raw
 from chalkgrade.record.fates import Account, Fates
-from chalkgrade.record.jobs import END_PREFIX, JOB_PREFIX, JobValue
+from chalkgrade.record.jobs import BATCH_PREFIX, END_PREFIX, JOB_PREFIX, JobValue
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
 from chalkgrade.serving.intake import Intake
 from chalkgrade.serving.reading import Mark, Reading
+from chalkgrade.serving.telling import FINAL
 from test_membership import _give, _leader, _until
 
 Patch = pytest.MonkeyPatch
@@ -151,6 +153,194 @@
     assert not lost or all(kinds.get(kind) for kind in ("cg/in/", "cg/end/", "cg/log/")), kinds
 
 
+# -- each answer, while just one commit is open ---------------------------------------------
+
+
+class Held(Close):
+    """Loses all answers of transactions that write a kind of key; they are executed at once."""
+
+    LOSS = 0.0
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.holds: Callable[[dict[str, Any]], bool] = lambda op: False
+        self.executed = 0  # transactions whose answers were lost
+        plain = self.store.handle
+
+        async def handle(
+            source: str, method: str, path: str, body: bytes
+        ) -> tuple[int, Any] | None:
+            answer = await plain(source, method, path, body)
+            ops = msgspec.json.decode(body).get("apply", []) if path == "/commit" else ()
+            if answer is None or not any(self.holds(op) for op in ops):
+                return answer
+            self.executed += answer[0] == 200
+            await asyncio.sleep(30.0)
+            return None
+
+        self.store.handle = handle  # type: ignore[method-assign]
+
+    def known(self, spec: dict[str, Any]) -> str:
+        """A job that some user knows of."""
+        name = str(spec["nameId"])
+        self.jobs[name] = {"spec": spec, "aborted": None, "accepted": True, "over": None}
+        self.jobs[name] |= {"at": self.now, "replicas": set()}
+        return name
+
+    async def begun(self, name: str) -> None:
+        """A job is accepted and runs."""
+        await _until(self, 5.0, lambda: self.failure is None)
+        while (answer := await self.submit(name)) is None or answer[0] not in (200, 201):
+            await asyncio.sleep(0.2)
+        await _until(self, 60.0, lambda: self.of_job(name))
+
+
+def _is(prefix: str, word: str = "") -> Callable[[dict[str, Any]], bool]:
+    """Whether an operation writes a key of a kind, with a word in what it writes."""
+    return lambda op: (
+        str(op.get("write", "")).startswith(prefix)
+        and word in msgspec.json.encode(op["v"]).decode()
+    )
+
+
+async def _by_all(world: Held, name: str, status: str) -> None:
+    """Whoever can't ask the leader reads it; then all controllers say so, and at once."""
+    lead = _leader(world)
+    assert lead is not None
+    first = lead.settings.member
+    alone, third = [member for member in world.members if member != first]
+    world.cut({alone}, {first}, 30.0, False)  # it has to read
+    answer = None
+    begun = world.now
+    while answer is None or answer[0] != 200:
+        assert world.now < begun + 3.0, answer
+        answer = await world.look(name, alone)
+    assert answer[1]["status"] == status and world.executed
+    leads = lead.intake.term
+    assert leads is not None and leads.writer.fates.of(name), "its commit is open"
+    again = {"GET": world.look, "POST": world.submit}
+    for member in (first, third, alone):
+        for what, ask in again.items():
+            answer = await ask(name, member)
+            assert answer is not None and answer[0] in (200, 201), (member, what, answer)
+            assert answer[1]["status"] == status, (member, what, answer)
+            assert leads.writer.fates.of(name) or status in FINAL, "still open"
+
+
+async def _accepted_unheard(world: Held) -> None:
+    """The leader's batch is executed; the job is accepted, named by others, and cancelled."""
+    name = world.known(world.job(1))
+    world.holds = _is(BATCH_PREFIX)
+    lead = _leader(world)
+    assert lead is not None
+    first = lead.settings.member
+    world.spawn(world.submit(name, first))
+    await asyncio.sleep(0.3)
+    await _by_all(world, name, "pending")
+    heir = world.known(world.job(2) | {"waitsOn": [name], "jobclass": "heirs"})
+    term = lead.intake.term
+    assert term is not None and name in term.book.admissions
+    answer = await world.submit(heir, first)
+    assert answer is not None and answer[0] in (201, 503), answer  # known: never 422
+    world.jobs[name]["asked"] = True
+    aborts = [world.spawn(world.abort(name, member)) for member in world.members[:2]]
+    await asyncio.sleep(0.3)
+    world.holds = lambda op: False
+    for asked in aborts:
+        answer = await asked
+        assert answer is not None and answer[0] in (200, 503), answer  # never 404
+    await world.call_off(name)
+
+
+async def _ended_unheard(world: Held) -> None:
+    name = world.known(world.job(1))
+    await world.begun(name)
+    world.holds = _is(END_PREFIX, "done")
+    await _until(world, 60.0, lambda: world.completed(name) and world.executed)
+    await _by_all(world, name, "done")
+
+
+async def _cancelled_unheard(world: Held) -> None:
+    name = world.known(world.job(1) | {"expectedS": 30.0})
+    await world.begun(name)
+    world.holds = _is(BATCH_PREFIX, '"aborted":true')
+    world.jobs[name]["asked"] = True
+    world.spawn(world.abort(name))
+    await _until(world, 5.0, lambda: world.executed)
+    await _by_all(world, name, "withdrawn")
+
+
+async def _cancelled_by_its_own(world: Held) -> None:
+    """A job has two records, since the first was unheard; the second says that it is cancelled."""
+    name = world.known(world.job(1) | {"expectedS": 30.0})
+    lead = _leader(world)
+    assert lead is not None
+    first = lead.settings.member
+    other = next(member for member in world.members if member != first)
+    world.holds = _is(BATCH_PREFIX)
+    world.spawn(world.submit(name, first))
+    await _until(world, 5.0, lambda: world.executed)
+    world.cut({other}, {first}, 1.5, False)
+    await world.submit(name, other)
+    await _until(world, 5.0, lambda: JOB_PREFIX + name in world.store.keys)
+    term = lead.intake.term
+    assert term is not None
+    await _until(world, 5.0, lambda: name in term.jobs and name in term.book.admissions)
+    world.jobs[name]["asked"] = True
+    while world.jobs[name]["over"] is None:
+        await world.abort(name, first)
+        await asyncio.sleep(0.05)
+    assert name in term.book.admissions, "its batch is still unheard"
+    for member in world.members:
+        answer = await world.look(name, member)
+        assert answer is not None and answer[1].get("status") == "withdrawn", answer
+    world.holds = lambda op: False
+    while name in term.book.admissions:
+        world.spawn(world.submit(name, first))  # waits with it until its batch is heard of
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(2.0)
+
+
+async def _cancelled_by_its_batch(world: Held) -> None:
+    """A job's batch says that it is cancelled; it gets a second record that does not."""
+    name = world.known(world.job(1) | {"expectedS": 30.0})
+    await world.begun(name)
+    lead = _leader(world)
+    assert lead is not None
+    first = lead.settings.member
+    other = next(member for member in world.members if member != first)
+    for host, _ in world.of_job(name):
+        world.loop.freeze(host.name, world.now + 6.0)  # it is not over before that
+    world.jobs[name]["asked"] = True
+    while world.jobs[name]["over"] is None:
+        await world.abort(name, first)
+    world.cut({other}, {first}, 5.0, False)
+    answer = None
+    while answer is None or answer[0] not in (200, 201):
+        answer = await world.submit(name, other)
+    assert answer[1]["status"] == "withdrawn"
+    assert JOB_PREFIX + name in world.store.keys and END_PREFIX + name not in world.store.keys
+
+
+Story = Callable[[Held], Awaitable[None]]
+STORIES: list[Story] = [_accepted_unheard, _ended_unheard, _cancelled_unheard]
+STORIES += [_cancelled_by_its_own, _cancelled_by_its_batch]
+
+
+def _held(story: Story, seed: int = 3) -> None:
+    async def begun(world: World) -> None:
+        assert isinstance(world, Held)
+        await _until(world, 20.0, lambda: _leader(world) is not None)
+        await story(world)
+
+    tell(begun, seed=seed, loss=0.0, kind=Held)
+
+
+@pytest.mark.parametrize("story", STORIES)
+def test_a_commit_whose_answer_is_lost_is_told_by_all_once_one_has(story: Story) -> None:
+    _held(story)
+
+
 # -- bugs put in on purpose ---------------------------------------------------------------
 
 
@@ -244,3 +434,22 @@
     with pytest.raises(Broken, match=rule):
         for seed in range(10):
             _play(seed, _none, 0.8)
+
+
+@pytest.mark.parametrize(
+    ("bug", "story"),
+    [
+        (_unknown_while_it_is_admitted, _accepted_unheard),
+        (_book_while_the_end_is_open, _ended_unheard),
+        (_book_while_the_abort_is_open, _cancelled_unheard),
+        (_own_key_only, _accepted_unheard),
+        (_own_key_only, _cancelled_by_its_batch),
+        (_always_pending, _cancelled_by_its_own),
+    ],
+)
+def test_a_bug_is_found_by_the_commit_that_it_is_about(
+    bug: Callable[[Patch], None], story: Story, monkeypatch: Patch
+) -> None:
+    bug(monkeypatch)
+    with pytest.raises((Broken, AssertionError)):
+        _held(story)
