Lost answers: what a commit writes is looked at while its answer is awaited

Cause: where only the answer of a transaction was lost, its sender knew nothing until the time-out of 2 s (4.3 s where both copies' answers were lost twice), and everything that the commit could have changed stood: launches, ends told, cancellations, an election. Clean-up alone, which nothing conditioned, was sent again for as long as answers were lost and held up the main lane meanwhile. A controller that registered did so anew each time, with a lease more. A new revision of a key was taken for an own commit's without asking whether the lead was still ours (found by thinking; after a standstill it may be the next leader's). Change: Ledger.settled races a commit with looks at what it writes (after twice the time of a second copy, then with doubled pauses, only with requests at hand); leaders' commits and campaigns use it. Writer._applied_at tells removals by absence, and asks last whether the leader key is still ours. A commit of which one copy had no answer counts as open whatever the other was told. Presence knows its own key again.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -98,6 +98,7 @@
 ALONE_PART: Final = 0.5  # of a second's changes at hand: a submission need not wait for company
 HEDGE_TIMES: Final = 1.4  # times the usual answer, after which a commit is sent a second time
 HEDGE_LEAST_S: Final = 0.04  # s; not sooner: usual answers take 5 to 10 ms
+LOOK_TIMES: Final = 2.0  # times that, after which what the commit writes is looked at as well
 HEDGE_SPARE: Final = 0.25  # of a second's changes, that must be at hand beyond a second copy
 HEDGE_READS: Final = 3.0  # requests at hand, with which a read may be sent a second time
 LATENCIES: Final = 31  # answers that the usual one is the median of
--- a/src/chalkgrade/membership/presence.py
+++ b/src/chalkgrade/membership/presence.py
@@ -58,10 +58,14 @@
         row = await self.ledger.get(self.key)
         if row is not None and self.aside:
             return  # the newer process still holds it
-        permit = await self.ledger.grant(constants.MEMBER_TTL_S)
         value = Registered(self.views.me, self.views.process)
-        write = {"write": self.key, "v": value, "permit": permit}
-        stamp = await self.ledger.commit({self.key: row.stamp if row else 0}, [write])
+        if row is not None and row.permit and msgspec.json.decode(row.v, type=Registered) == value:
+            # Only the answer was lost: registered once more, it would be lost again.
+            permit, stamp = row.permit, row.stamp
+        else:
+            permit = await self.ledger.grant(constants.MEMBER_TTL_S)
+            write = {"write": self.key, "v": value, "permit": permit}
+            stamp = await self.ledger.commit({self.key: row.stamp if row else 0}, [write])
         self.permit, self.registered = permit, True
         self.views.stamp, self.views.refutes = stamp, 0
         if self.aside:
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -137,7 +138,9 @@
             while not self.office.leadership.acting():
                 await asyncio.sleep(constants.STATE_PAUSE_S)
             try:
-                return await self.ledger.commit_hedged(conditions, apply)
+                return await self.ledger.settled(
+                    self.ledger.commit_hedged(conditions, apply), partial(self._seen, writes)
+                )
             except NotExecuted:
                 await asyncio.sleep(constants.STATE_PAUSE_S)
             except NoAnswer:
@@ -202,16 +205,28 @@
                 self.book.add(msgspec.json.decode(row.v, type=JobValue), row.stamp, observe=False)
         return True
 
+    async def _seen(self, writes: list[Write]) -> int:
+        """As `_applied_at`, while the commit is under way: 0 where that is not known."""
+        return await self._applied_at(writes) or 0
+
     async def _applied_at(self, writes: list[Write]) -> int | None:
         """The revision at which a copy of a commit was applied, 0 if none was; None: unknown.
 
-        Nobody else writes these keys, so that a new revision of one is the copy's.
+        Nobody else writes these keys while the lead is ours, so that a new revision of one, or
+        its absence where there are removals only, is the copy's if the leader key is still ours
+        after it was read. Else it may be the next leader's: after a standstill here,
+        submissions of a batch that it has rewritten passed for accepted.
         """
-        write = next((w for w in writes if w.value is not None and w.stamp >= 0), None)
-        if write is None:
-            return self.office.token  # removals only: nothing keeps their revision
+        kept = (w for w in writes if w.value is not None and w.stamp >= 0)
+        write = next(kept, writes[0])
         try:
             row = await self.ledger.get(write.key)
+            stamp = 0 if row is None else row.stamp
+            if bool(stamp) != (write.value is not None) or stamp == write.stamp:
+                return 0
+            lead = await self.ledger.get(LEADER_KEY)
         except (NoAnswer, NotExecuted):
             return None
-        return row.stamp if row is not None and row.stamp != write.stamp else 0
+        if lead is None or lead.stamp != self.office.token:
+            return None
+        return stamp or self.office.token  # of removals nothing keeps the revision
--- a/src/chalkgrade/state/leadership.py
+++ b/src/chalkgrade/state/leadership.py
@@ -242,14 +242,20 @@
         permit = await self._ledger.grant(self._ttl_s)
         value = LeaderValue(self.member, self._nonce(), self._ttl_s, self.home)
         write = {"write": LEADER_KEY, "v": value, "permit": permit}
+
+        async def look() -> int:
+            """It may have been applied: the nonce tells whether the key is ours."""
+            row = await self._ledger.get(LEADER_KEY)
+            ours = row is not None and msgspec.json.decode(row.v, type=LeaderValue) == value
+            return row.stamp if row is not None and ours else 0
+
         try:
-            token = await self._ledger.commit({LEADER_KEY: 0}, [write])
+            commit = self._ledger.commit({LEADER_KEY: 0}, [write])
+            token = await self._ledger.settled(commit, look)
         except NoAnswer:
-            # It may have been applied: the nonce tells whether the key is ours.
-            row = await self._ledger.get(LEADER_KEY)
-            if row is None or msgspec.json.decode(row.v, type=LeaderValue) != value:
+            token = await look()
+            if not token:
                 raise
-            token = row.stamp
         await self._begin(token, permit, begun)
 
     async def _begin(self, token: int, permit: int, begun: float) -> None:
--- a/src/chalkgrade/state/ledger.py
+++ b/src/chalkgrade/state/ledger.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import msgspec
@@ -277,8 +278,52 @@
         conflicts = [f for f in failures if isinstance(f, Conflict)]
         if conflicts:
             raise Conflict(conflicts[0].failed, unsure=len(copies) > 1)
-        lost = [f for f in failures if not isinstance(f, NotExecuted)]
-        raise (lost or failures)[0]
+        # One without an answer may have been applied, whatever the other was told.
+        lost = [f for f in failures if isinstance(f, NoAnswer)]
+        refused = [f for f in failures if not isinstance(f, NotExecuted)]
+        raise (lost or refused or failures)[0]
+
+    async def settled(
+        self, commit: Coroutine[Any, Any, int], look: Callable[[], Awaitable[int]]
+    ) -> int:
+        """A commit's revision: from its answer, or from what it wrote if that is seen first.
+
+        Only its answer may be lost. Until the time-out nobody may be told anything that the
+        commit could have changed, so what it writes is looked at meanwhile: found in the region
+        where answers were lost, each commit stood for two seconds, and what it held with it.
+        `look`: the revision at which it was surely applied, 0 if that is not seen.
+        """
+        sent = asyncio.create_task(commit)
+        looking: asyncio.Task[int] | None = None
+        pause = constants.LOOK_TIMES * self.hedge_s()
+        try:
+            while True:
+                waiting = {sent} if looking is None else {sent, looking}
+                await asyncio.wait(
+                    waiting,
+                    timeout=pause if looking is None else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if sent.done():
+                    return sent.result()
+                if looking is None:
+                    if self.requests.level() >= constants.HEDGE_READS:
+                        looking = asyncio.create_task(self._seen(look))
+                elif looking.done():
+                    if looking.result():
+                        self.counts["seen"] = self.counts.get("seen", 0) + 1
+                        return looking.result()
+                    looking, pause = None, 2 * pause
+        finally:
+            for task in (sent, looking):
+                if task is not None and not task.cancel() and not task.cancelled():
+                    task.exception()  # seen: it decides nothing any more
+
+    async def _seen(self, look: Callable[[], Awaitable[int]]) -> int:
+        try:
+            return await look()
+        except (NoAnswer, NotExecuted):
+            return 0
 
     def hedge_s(self) -> float:
         """After how long a commit's answer counts as unusually late."""
