Lost answers: the lead moves on while an executed commit is not answered

Cause: a commit of the old leader that was executed and never answered must count with the next. Change: test of five kinds of commit, the lead handed over at the loss, with the looks left out.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -403,6 +403,34 @@
         tell(_joined, 4, loss=0.0, kind=Losing)
 
 
+async def _moved(world: Any, kind: str) -> None:
+    """The lead moves on while the answer of an executed commit is awaited."""
+    world.spawn(_monitor(world))
+    await _first(world)
+    leader, token = _leader(world), _token(world)
+    assert leader is not None
+    world.lose(kind, 1)
+    world.spawn(world.user(_short(2), None))
+    world.spawn(world.user(_short(3, tasks=3, expectedS=300.0), 8.0))
+    await _until(world, 60.0, lambda: world.unheard)
+    for node in world.nodes.values():
+        node.handover.direct_at = world.now
+    world.spawn(_give(world, leader))
+    await _until(world, 10.0, lambda: _leader(world) and _token(world) > token)
+    assert world.unheard[0][1] == 200
+    await _until(world, 60.0, lambda: len(world.jobs) == 3)
+    await _until(world, 90.0, lambda: all(job["over"] for job in world.jobs.values()))
+    await _settled(world)
+
+
+@pytest.mark.parametrize("kind", ["batch", "launch", "end", "withdrawn", "abort"])
+def test_the_next_leader_goes_by_a_commit_that_the_last_one_never_heard_of(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    _blind(monkeypatch)  # else the last one has seen it within a tenth of a second
+    tell(lambda world: _moved(world, kind), 4, loss=0.0, kind=Losing)
+
+
 # -- submissions by any node ---------------------------------------------------------------------
 
 
