--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -112,6 +112,7 @@
 # Ended jobs that a leader still knows: late news of a submission must not bring one back, and
 # that is late by seconds; at 70 ends a second these are those of the last 20 minutes.
 OVER_KEPT: Final = 100_000
+GONE_KEPT: Final = 50_000  # machines surely gone that a leader knows: copies come minutes late
 PAGE_TASKS: Final = 200  # tasks in one checkpoint; 200 live attempts take 7 KB of JSON
 PAGE_ENTRY_B: Final = 36  # bytes; a live attempt in a page or the log: number, try, machine
 PAGE_MOST_KB: Final = (PAGE_TASKS * PAGE_ENTRY_B + 1024) / 1024  # KiB; a page, and what is done
@@ -221,9 +222,6 @@
 INTAKE_DEADLINE_S: Final = 4.0  # s; users give up at 5 s
 QUERY_DEADLINE_S: Final = 1.6  # s; users wait 2 s for a poll
 LOOKUP_LANES: Final = 3  # requests for questions at once: one lost answer must not hold up all
-GONE_KEPT: Final = (
-    50_000  # machines surely gone that a leader still knows: copies come minutes late
-)
 FINAL_CACHE: Final = 20_000  # final states kept in memory on each node
 RETRY_AFTER_S: Final = 1  # s; what a user is told when nothing can be decided
 # Parts of the sockets that the platform allows, so that they fit a fleet of any size.
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -29,10 +29,10 @@
     """Memory runs ahead of the state service; this is the loop that closes the gap."""
 
     def __init__(self, office: Office, book: Book) -> None:
+        self.admitted_at = -1e9  # when the last commit of submissions was sent
         self.office = office
         self.book = book
         self.ledger = office.ledger
-        self.admitted_at = -1e9  # when the last commit of submissions was sent
 
     def collect(self) -> tuple[list[Change], Edits]:
         """The next commit's changes: as many as a commit may hold and the budget has now."""
