Odd requests and one-zone jobs: what can't be taken is one plain error; both zone rules hold at once

A job that failed on one or two machines was never tried there again, also where nothing else fits and the plan counts their room as its own: it waited as long as they had other work. For a one-zone job bound by its live tasks, room was rented in the other zone.

Change: zones_open applies both rules; refusal asks the zones that the job may use; machines that a job failed on are left out for SHUN_S (60 s, beyond idle_release_s) and taken last then; needs of a bound job are planned in its zone.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -136,6 +136,8 @@
 FAULTY_MACHINES: Final = 2  # machines a job failed on, with no success, before it is held
 PROVEN_RUN_S: Final = 30.0  # s; a replica that ran so long shows that its service is sound
 FAILED_KEPT: Final = 3  # of them written with a page: enough for the next leader's verdict
+# Beyond IDLE_RELEASE_S: one that runs nothing else is returned, and another is rented.
+SHUN_S: Final = 60.0  # s; a job that failed on a machine is tried there again, if nowhere else
 SUSPECT_FAILURES: Final = 2  # failures in a row on one machine before it is replaced
 JOB_BACKOFF_S: Final = 2.0  # s; first pause of a faulty job, doubles with each failed probe
 JOB_BACKOFF_MAX_S: Final = 60.0  # s; longest such pause: a broken job must not spin
--- a/src/chalkgrade/leading/faults.py
+++ b/src/chalkgrade/leading/faults.py
@@ -26,6 +26,7 @@
         if cause == "done":
             machine.failed.clear()
         elif cause in FAILED:
+            machine.failed_at = self._clock.now()
             if cause == "error":
                 machine.failed[job] = machine.failed.get(job, 0) + 1
             if job.faulty or cause == "unknown":
--- a/src/chalkgrade/machines/fleet.py
+++ b/src/chalkgrade/machines/fleet.py
@@ -78,6 +78,7 @@
         self.images: dict[str, float] = {}  # image -> when it was last used
         self.image_gb: dict[str, float] = {}
         self.failed: dict[Job, int] = {}  # failed attempts by job, since the last success
+        self.failed_at = now  # when a task last failed on it; before our term it may have
         self.silent_from: float | None = None  # as the last leader said, until it reports
         self.releasing = False
         self.busy_at = now  # when it last had work
--- a/src/chalkgrade/machines/placement.py
+++ b/src/chalkgrade/machines/placement.py
@@ -80,10 +80,10 @@
 def zones_open(spec: JobSpec, held: dict[str, int], zones: Iterable[str]) -> set[str]:
     """Zones where one more task may go, given where the others may be."""
     used = {zone for zone, count in held.items() if count}
-    if spec.oneZone and used:
-        return used if len(used) == 1 else set()
     out = set(zones)
-    if spec.spread:
+    if spec.oneZone and used:
+        out = used if len(used) == 1 else set()
+    if spec.spread:  # with one zone for all, too: then half of them run at a time
         # Tasks in a zone not known yet ("", after a change of leader) may be in any.
         most = (spec.tasks + 1) // 2 - held.get("", 0)
         out = {zone for zone in out if held.get(zone, 0) < most}
--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -88,7 +88,7 @@
     """
     try:
         spec = msgspec.json.decode(body, type=JobSpec)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise Invalid(str(error)) from None
     if not is_id(spec.nameId):
         raise Invalid("nameId: not a job id")
--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from chalkgrade import constants
 from chalkgrade.logs import about
 from chalkgrade.machines.fleet import Machine
@@ -287,7 +289,7 @@
         for job in jobs:
             room[job.spec.owner] = room.get(job.spec.owner, 0.0) - job.spec.vcpus * len(job.live)
         for job in jobs:
-            spec = job.spec
+            spec = self._bound(job)
             # A faulty job, or one without seats, gets no more machines than it may use.
             tasks = self.able(job, job.startable)
             if job.aborted or job.aborting or not tasks:
@@ -322,6 +324,21 @@
                 out.append(Need(job.spec, tasks, self.queues.run_s(job), patience))
         return out
 
+    def _bound(self, job: Job) -> JobSpec:
+        """What a job asks for, and the zone that its live tasks bind it to.
+
+        Found when a zone lost most of its machines: the cheapest room was rented in the other
+        one, where no task of the job may go, and counted as free for it from then on.
+        """
+        spec = job.spec
+        if not (spec.oneZone and job.live) or spec.site is not None or spec.shape == "gang":
+            return spec
+        known = (self.fleet.machines.get(attempt.machine) for attempt in job.live.values())
+        zones = {machine.site if machine else "" for machine in known}
+        if len(zones) > 1 or "" in zones:
+            return spec
+        return msgspec.structs.replace(spec, site=zones.pop())
+
     async def _rent(self) -> None:
         """Rent until nothing more is wanted or every pool that would do has refused."""
         while self.live():
--- a/src/chalkgrade/serving/intake.py
+++ b/src/chalkgrade/serving/intake.py
@@ -120,23 +120,22 @@
         for field, most in (("vcpus", team.cpus_max), ("gpus", team.gpus_max)):
             if most and getattr(spec, field) * count > most + 1e-9:
                 return f"{field}: over the limit of team {spec.owner!r} ({most:g})"
-        if not any(
-            per_machine(spec, flavor) >= 1
-            and any(
-                allowed(spec, flavor.sku, site, standby)
-                for site in flavor.sites
-                for standby in (True, False)
-            )
+        zones = {
+            site
             for flavor in self.flavors.values()
-        ):
+            for site in flavor.sites
+            if per_machine(spec, flavor) >= 1
+            and any(allowed(spec, flavor.sku, site, standby) for standby in (True, False))
+        }
+        if not zones:
             return "a task fits no allowed machine type"
-        zones = {site for flavor in self.flavors.values() for site in flavor.sites}
         if (
             spec.spread
             and spec.shape != "batch"
             and spec.tasks > 1
-            and (spec.oneZone or spec.site is not None or len(zones) < 2)
+            and (spec.oneZone or len(zones) < 2)
         ):
+            # Of a batch half runs at a time: replicas run all at once.
             return "spread: the replicas can't be in two zones"
         return next(filter(None, (check(spec) for check in self.checks)), None)
 
--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -303,7 +303,15 @@
         return self._pickers[key]
 
     def _shunned(self, job: Job) -> Iterable[str]:
-        return job.failed_on if len(job.failed_on) <= constants.FAULTY_MACHINES else ()
+        """Machines that it failed on a moment ago: they are taken last, not never.
+
+        Where no other one fits, none is rented beside a machine that has room: it would wait
+        there until whatever else runs on that one has ended.
+        """
+        if len(job.failed_on) > constants.FAULTY_MACHINES:
+            return ()
+        known = filter(None, map(self.fleet.machines.get, job.failed_on))
+        return [m.name for m in known if self.now < m.failed_at + constants.SHUN_S]
 
     def _place_gang(self, job: Job, budget: Vector | None, reserve: bool) -> int:
         """Place all that is missing of a gang, or nothing (step 7: its grant covers all of it)."""
