A submission at another node is not taken for an own cancellation; two checks see their bug

Cause: where only an abort's own key was written, made anew beside a batch that can't be rewritten, another node's submission under that key passed for the executed commit.

--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -256,18 +256,31 @@
         Nobody else writes these keys while the lead is ours, so that a new revision of one, or
         its absence where there are removals only, is the copy's if the leader key is still ours
         after it was read. Else it may be the next leader's: after a standstill here,
-        submissions of a batch that it has rewritten passed for accepted.
+        submissions of a batch that it has rewritten passed for accepted. Of a job's own key that
+        is made anew, which another node may make too, the value tells whose it is: its
+        submission passed for the cancellation that is written there (found by reading).
         """
-        kept = (w for w in writes if w.value is not None and w.stamp >= 0)
-        write = next(kept, writes[0])
+        kept = [w for w in writes if w.value is not None and w.stamp >= 0]
+        write = min(kept or writes[:1], key=_shared)
         try:
             row = await self.ledger.get(write.key)
             stamp = 0 if row is None else row.stamp
             if bool(stamp) != (write.value is not None) or stamp == write.stamp:
                 return 0
+            if _shared(write) and row is not None and _record(row.v) != _record(write.value):
+                return 0
             lead = await self.ledger.get(LEADER_KEY)
         except (NoAnswer, NotExecuted):
             return None
         if lead is None or lead.stamp != self.office.token:
             return None
         return stamp or self.office.token  # of removals nothing keeps the revision
+
+
+def _shared(write: Write) -> bool:
+    """Whether another node may make the same key: a job's own, by a repeated submission."""
+    return write.key.startswith(JOB_PREFIX) and write.stamp == 0
+
+
+def _record(raw: Any) -> JobValue:
+    return msgspec.json.decode(raw, type=JobValue)
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -21,7 +21,7 @@
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.worker import Task
 from chalkgrade.region.world import World, close, tell
-from chalkgrade.serving import intake
+from chalkgrade.serving import intake, node
 from chalkgrade.serving.intake import Intake
 from chalkgrade.sharing import gates
 from chalkgrade.state.leadership import LEADER_KEY
@@ -187,6 +187,7 @@
         return plain(msgspec.json.encode(found), value_b)
 
     patch.setattr(intake, "parse_submission", parse)
+    patch.setattr(node, "parse_submission", parse)  # the leader's, of what others pass on
 
 
 @pytest.mark.parametrize("bug", [None, _takes_what_fits_nothing, _fills_in_what_is_missing])
@@ -216,7 +217,7 @@
 
 def test_a_class_that_waits_beside_room_is_found_and_it_is_said_why(monkeypatch: Patch) -> None:
     _starves(monkeypatch, "quote")
-    _, broken = play_day(_small(), 1)
+    _, broken = play_day(_small(calm_s=300.0), 1)
     assert broken.startswith("idle_room: ") and "'jobclass': 'quote'" in broken
     assert "host-" in broken and "its team holds" in broken and "the leader says: n-" in broken
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -15,7 +15,7 @@
 from chalkgrade import constants
 from chalkgrade.membership.presence import MEMBERS_PREFIX
 from chalkgrade.outside import NoAnswer
-from chalkgrade.record.changes import Write
+from chalkgrade.record.changes import Write, raw
 from chalkgrade.record.jobs import BATCH_PREFIX, END_PREFIX, JOB_PREFIX, TASK_PREFIX
 from chalkgrade.record.oplog import LOG_PREFIX
 from chalkgrade.record.writer import Writer
@@ -531,3 +531,27 @@
         assert (found is None) != bug
 
     tell(story, 4, loss=0.0, kind=Losing)
+
+
+@pytest.mark.parametrize("aborted", [False, True])
+def test_a_submission_at_another_node_is_not_taken_for_an_own_cancellation(aborted: bool) -> None:
+    """An abort beside a batch that can't be rewritten makes the key that such a node makes too.
+
+    Taken for executed, the cancellation would be told, and be on no record.
+    """
+
+    async def story(world: Any) -> None:
+        await _first(world)
+        leader = _leader(world)
+        assert leader is not None and leader.intake.term is not None
+        record = {"spec": world.spec(900), "at": 1.0}
+        mine = Write(JOB_PREFIX + "run-000900", 0, raw(record | {"aborted": True}))
+        there = record | {"aborted": True} if aborted else record
+        end = END_PREFIX + "run-000900"
+        made = leader.ledger.commit({mine.key: 0, end: 0}, [{"write": mine.key, "v": there}])
+        stamp = await world.within(leader.settings.member, made)
+        writer = leader.intake.term.writer
+        found = await world.within(leader.settings.member, writer._applied_at([mine]))
+        assert found == (stamp if aborted else 0)
+
+    tell(story, 4, loss=0.0, kind=Losing)
