A leader whose writing stands still gives the lead away; a copy that is cancelled from inside had no answer

Change: a commit that neither answers nor fails for 10 s counts as lost; a copy that nobody of ours cancelled counts as not answered; a term's loop that is cancelled by nobody, or ends, is a bug and costs the lead; and Writer.watch steps down when nothing was written for 30 s of leading though there is something.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -88,6 +88,11 @@
 
 # --- ledger -----------------------------------------------------------------
 STATE_TIMEOUT_S: Final = 2.0  # s; replies take under 10 ms, rarely a few hundred
+# A commit that neither answered nor failed by then is taken for lost: each of its requests has its
+# own time-out, and waits for changes at hand for a second or two before.
+COMMIT_MOST_S: Final = 10.0  # s
+STALL_S: Final = 30.0  # s; for which a leader may write nothing though there is something
+STALL_LOOK_S: Final = 5.0  # s; between two looks at that
 STATE_PAUSE_S: Final = 0.25  # s; between retries of a state-service call
 # The rest is split among the other controllers, so that all parts sum to the limit.
 LEADER_WRITE_SHARE: Final = 0.7  # share of write_rps for the leader: all progress goes through it
--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -99,7 +99,7 @@
     # -- life ---------------------------------------------------------------------
 
     def start(self) -> None:
-        self.tasks.append(asyncio.create_task(self._run()))
+        self.tasks.append(asyncio.create_task(self._guard(self._run, True, lasting=False)))
 
     def stop(self) -> None:
         self.ready = False
@@ -116,7 +116,7 @@
                 log.warning("loading the book: %s", error)
                 await asyncio.sleep(constants.STATE_PAUSE_S)
         writing = [self.writer.flush, *[self.writer.admit] * constants.ADMIT_LANES]
-        self._spawn([self.book.watch, *writing], True)
+        self._spawn([self.book.watch, self.writer.watch, *writing], True)
         for part in self.parts:
             self._spawn(part.durable, True)
             self._spawn(part.loops, False)
@@ -133,23 +133,30 @@
     def _spawn(self, loops: Iterable[Loop], fatal: bool) -> None:
         self.tasks += [asyncio.create_task(self._guard(loop, fatal)) for loop in loops]
 
-    async def _guard(self, loop: Loop, fatal: bool) -> None:
+    async def _guard(self, loop: Loop, fatal: bool, lasting: bool = True) -> None:
         """A loop that meets a bug must not leave half a leader behind.
 
         What holds durable state is rebuilt under a new token; deciding where
         things run starts again, since the same input would meet the next leader.
+        A cancellation that nobody asked this task for is a bug like any other: taken for the
+        term's end, it left a leader that placed work and wrote nothing.
         """
+        task = asyncio.current_task()
         while True:
             try:
                 await loop()
+                if not lasting:
+                    return
             except asyncio.CancelledError:
-                raise
+                if task is None or task.cancelling():
+                    raise
+                log.exception("a loop was cancelled by nobody")
             except Exception:
                 log.exception("a loop failed%s", "; stepping down" if fatal else "")
-                if fatal:
-                    self.leadership.depose()
-                    return
-                await asyncio.sleep(constants.ROUND_S)
+            if fatal:
+                self.leadership.depose()
+                return
+            await asyncio.sleep(constants.ROUND_S)
 
     async def _load(self) -> None:
         self.fleet.machines.clear()
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -35,6 +35,8 @@
         self.book = book
         self.ledger = office.ledger
         self.fates = Fates()  # of the commits that are under way
+        self.rounds = 0  # how often the main lane had nothing left to write, or wrote something
+        self.idle = True  # the main lane has nothing to write
 
     def collect(self) -> tuple[list[Change], Edits]:
         """The next commit's changes: as many as a commit may hold and the budget has now."""
@@ -71,6 +73,7 @@
         """Work off what is to be written, for ever."""
         while True:
             await self.book.flush_wanted.wait()
+            self.idle = False
             await asyncio.sleep(constants.COALESCE_S)
             self.book.flush_wanted.clear()
             while True:
@@ -79,6 +82,23 @@
                 if not changes:
                     break
                 await self._write(changes, edits)
+                self.rounds += 1
+            self.idle = not self.book.log.pending
+            self.rounds += self.idle
+
+    async def watch(self) -> None:
+        """Return once the main lane has stood for long while this node surely led.
+
+        Found on the bench, once in eleven days of late transactions: for seven minutes a leader
+        placed work that was never written, with machines idle, and nothing said so. Whatever
+        makes it stand, the next leader reads the record and goes on.
+        """
+        stood, seen = 0.0, self.rounds
+        while stood < constants.STALL_S:
+            await asyncio.sleep(constants.STALL_LOOK_S)
+            moved = self.idle or self.rounds != seen or not self.office.leadership.acting()
+            stood, seen = 0.0 if moved else stood + constants.STALL_LOOK_S, self.rounds
+        log.error("nothing was written for %.0f s though there is much; stepping down", stood)
 
     async def _gather(self) -> None:
         """Where changes are short, wait for as many as the ends that wait can share.
@@ -179,12 +199,13 @@
             while not self.office.leadership.acting():
                 await asyncio.sleep(constants.STATE_PAUSE_S)
             try:
-                return await self.ledger.settled(
-                    self.ledger.commit_hedged(conditions, apply), partial(self._seen, writes)
-                )
+                async with asyncio.timeout(constants.COMMIT_MOST_S):
+                    return await self.ledger.settled(
+                        self.ledger.commit_hedged(conditions, apply), partial(self._seen, writes)
+                    )
             except NotExecuted:
                 await asyncio.sleep(constants.STATE_PAUSE_S)
-            except NoAnswer:
+            except (NoAnswer, TimeoutError):
                 unsure = True
                 await asyncio.sleep(constants.STATE_PAUSE_S)
             except Conflict as conflict:
--- a/src/chalkgrade/state/ledger.py
+++ b/src/chalkgrade/state/ledger.py
@@ -185,8 +185,11 @@
             while True:
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
                 for copy in done:
-                    if copy.exception() is None or not pending:
+                    failure = _failure(copy)
+                    if failure is None:
                         return copy.result()
+                    if not pending:
+                        raise failure
         finally:
             for copy in copies:
                 if not copy.cancel() and not copy.cancelled():
@@ -267,7 +270,7 @@
             while pending:
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
                 for copy in done:
-                    failure = copy.exception()
+                    failure = _failure(copy)
                     if failure is None:
                         return copy.result()
                     failures.append(failure)
@@ -305,12 +308,15 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if sent.done():
+                    failure = _failure(sent)
+                    if failure is not None:
+                        raise failure
                     return sent.result()
                 if looking is None:
                     if self.requests.level() >= constants.HEDGE_READS:
                         looking = asyncio.create_task(self._seen(look))
                 elif looking.done():
-                    if looking.result():
+                    if _failure(looking) is None and looking.result():
                         self.counts["seen"] = self.counts.get("seen", 0) + 1
                         return looking.result()
                     looking, pause = None, 2 * pause
@@ -387,3 +393,12 @@
         found = decode(data, Changes)
         self._saw(found.ledgerRev)
         return found
+
+
+def _failure(copy: "asyncio.Task[Any]") -> BaseException | None:
+    """How a copy of a request failed; one that was cancelled from inside had no answer.
+
+    Nobody else cancels a copy that is waited for. Passed on, its cancellation would pass for
+    that of whoever waits, and end a loop without a word.
+    """
+    return NoAnswer("given up") if copy.cancelled() else copy.exception()
