--- a/src/chalkgrade/cli.py
+++ b/src/chalkgrade/cli.py
@@ -151,14 +151,23 @@
     ),
 )
 @click.option("--seed", default=1, show_default=True, help="Of all that is drawn.")
+@click.option(
+    "--seeds", default=1, show_default=True, help="How many in a row, summed up (meetings)."
+)
 @click.option("--json", "as_json", is_flag=True, help="One JSON object instead of lines.")
-def experiment(name: str, seed: int, as_json: bool) -> None:
+def experiment(name: str, seed: int, seeds: int, as_json: bool) -> None:
     """Measure something in the simulated region; figures are of simulated machines."""
     import importlib
 
     set_up(_level("error"), "plain")
     try:
-        found = importlib.import_module(f"chalkgrade.experiments.{name}").run(seed)
+        module = importlib.import_module(f"chalkgrade.experiments.{name}")
+        if seeds != 1 and (seeds < 1 or not hasattr(module, "summary")):
+            _fail(f"experiment: --seeds {seeds}: must be 1 or more, and {name} to sum up")
+        found = module.run(seed)
+        if seeds > 1:
+            rest = [module.play(one) for one in range(seed + 1, seed + seeds)]
+            found = module.summary([found, *rest])
     except ModuleNotFoundError as error:
         _fail(f"experiment: no library {error.name!r}; the extra `experiments` brings it")
     _print(found, as_json)
--- a/src/chalkgrade/experiments/gap.py
+++ b/src/chalkgrade/experiments/gap.py
@@ -7,14 +7,8 @@
 import random
 from typing import Any
 
-from chalkgrade.experiments.meetings import (
-    WORKERS,
-    ZONES,
-    Meet,
-    Meeting,
-    fault,
-    figures,
-)
+from chalkgrade.experiments.meetings import WORKERS, ZONES, fault, figures
+from chalkgrade.experiments.met import Meet, Meeting
 from chalkgrade.region.day import Day, Fault, Kind, Room, Work
 from chalkgrade.region.fleet import play_day
 from chalkgrade.settings import CloudLimits, StateLimits, Team
--- a/src/chalkgrade/region/askers.py
+++ b/src/chalkgrade/region/askers.py
@@ -36,6 +36,7 @@
         self.odd_told: dict[str, int] = {}  # what odd requests were answered, by what was odd
         self.called_off = 0  # jobs that a trouble's users called off
         self.looked = 0  # events that were looked at closely
+        self.looked_off = 0  # jobs that were called off by who looked
 
     # -- cancellations at the worst moment ------------------------------------------
 
@@ -103,6 +104,7 @@
         self.spawn(self._repeat(name))
         job = self.jobs[name]
         if job["over"] is None and not job.get("asked") and self.rng.random() < CANCEL_PART:
+            self.looked_off += 1
             self.spawn(self._call_off_after(name, self.rng.uniform(0.0, CLOSE_S)))
 
     async def _look(self, name: str, member: str) -> None:
--- a/src/chalkgrade/region/cloud.py
+++ b/src/chalkgrade/region/cloud.py
@@ -1,7 +1,7 @@
 """The cloud."""
 
 import asyncio
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -11,6 +11,14 @@
 QUICK_S = (0.3, 2.0)  # s; boots of machines that are up at once
 
 
+class Boot(NamedTuple):
+    """A machine came up."""
+
+    at: float
+    name: str
+    took: float  # s since it was rented
+
+
 class Cloud:
     """The cloud: rentals, a lagging list, machines that are taken or never come up."""
 
@@ -24,7 +32,7 @@
         self.workers: dict[str, Worker] = {}  # of machines that are up
         self.rented: list[tuple[float, list[str]]] = []  # which machines were, and when
         self.spent = 0.0  # money, for machines that are gone
-        self.boots: list[tuple[float, float]] = []  # when machines came up, and after how long
+        self.boots: list[Boot] = []
         self.quick_until = 0.0  # machines rented until then are up within a second or two
         self.boot_trouble = (0.0, 1.0, 0.0)  # share that never comes, times as slow, until when
 
@@ -134,7 +142,8 @@
         usual = flavor["bootS"] * factor * self.world.rng.uniform(0.2, 1.8)
         await asyncio.sleep(self.world.rng.uniform(*QUICK_S) if quick else usual)
         if name in self.machines:
-            self.boots.append((self.world.now, self.world.now - self.machines[name]["born"]))
+            took = self.world.now - self.machines[name]["born"]
+            self.boots.append(Boot(self.world.now, name, took))
             self._up(name, flavor)
 
     def remove(self, name: str) -> None:
--- a/src/chalkgrade/region/day.py
+++ b/src/chalkgrade/region/day.py
@@ -61,6 +61,7 @@
     a_minute: float = 0.0
     spot: bool = True
     zone: str = ""  # the only one in which it may run
+    one_zone: bool = False  # all of its tasks in one, whichever
     stop_after_s: float | None = None  # its user aborts it so long after; services need one
     cancelled: float = 0.0  # share whose users abort them, at a time that is drawn
     cancel_s: tuple[float, float] = (5.0, 60.0)  # after their submission
--- a/src/chalkgrade/region/fleet.py
+++ b/src/chalkgrade/region/fleet.py
@@ -70,7 +70,7 @@
             "pullGb": work.image_gb,
             "hosttypes": None,
             "site": work.zone or None,
-            "oneZone": False,
+            "oneZone": work.one_zone,
             "spread": False,
             "standby": work.spot,
             "expectedS": 0.0 if work.shape == "service" else run_s,
--- a/src/chalkgrade/region/ground.py
+++ b/src/chalkgrade/region/ground.py
@@ -17,6 +17,7 @@
 
 
 CONNECT_S = 0.5  # s; until a machine gives up a connection that nobody takes
+HELD_S = 1.0  # s; a report that takes longer was held back
 KEPT_COPIES = 3  # of each machine, for the next leader
 
 
@@ -210,11 +211,17 @@
         if self.up(target):
             await self.servers[target](source, method, path, body)
 
+    def held_back(self, source: str, target: str, sent: float) -> None:
+        """A report arrives that was held on its way since then."""
+
     async def _exchange(
         self, source: str, target: str, method: str, path: str, body: Any
     ) -> tuple[int, Any] | None:
         try:
+            sent = self.now
             await self._pass(source, target)
+            if path == "/hello" and self.now > sent + HELD_S:
+                self.held_back(source, target, sent)
             answer = await self.servers[target](source, method, path, body)
             if answer is None:
                 return None
--- a/src/chalkgrade/region/rules.py
+++ b/src/chalkgrade/region/rules.py
@@ -50,7 +50,7 @@
         self.calm_from = BEGAN  # since when no trouble lasts
         self.gone_most = 0.0  # s; the longest that a task was there after its cancellation was told
         self.silent_most = 0.0  # s; the longest for which a job's questions met silence
-        self.used: set[str] = set()  # machines that were given work
+        self.used: dict[str, float] = {}  # when machines were first given work
         self.stops: list[float] = []  # when work was stopped that nobody had aborted
         self.failures: dict[str, int] = {}  # job -> attempts of it that failed
         self.starts_after_cancel = 0  # after a user was told that the job is cancelled
--- a/src/chalkgrade/region/worker.py
+++ b/src/chalkgrade/region/worker.py
@@ -220,7 +220,7 @@
 
     def _launch(self, name: str, number: int) -> None:
         world = self.world
-        world.used.add(self.name)
+        world.used.setdefault(self.name, world.now)
         job = world.jobs.get(name.rpartition("/")[0])
         task = Task(name, number, job["spec"] if job else {})
         twin = any(t.name == name and t.status != "ended" for t in self.tasks.values())
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -457,5 +457,5 @@
     day = _small(Fault(1.0, "quick_boots", 30.0), Fault(5.0, "take", 0.1, count=20))
     world, broken = play_day(day, 1)
     assert not broken
-    quick = [took for at, took in world.cloud.boots if at < 1030.0]
+    quick = [boot.took for boot in world.cloud.boots if boot.at < 1030.0]
     assert len(quick) > 2 and max(quick) <= 2.0, quick
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,6 +1,7 @@
 """Two troubles at once: each meeting is brought about, and a bug put in on purpose is found."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -11,11 +12,13 @@
 from chalkgrade.cli import main
 from chalkgrade.experiments import meetings, shrinking
 from chalkgrade.experiments.meetings import Maker
+from chalkgrade.experiments.met import Meet
 from chalkgrade.leading.reports import Reports
 from chalkgrade.leading.term import Term
 from chalkgrade.machines.fleet import Fleet, Machine
 from chalkgrade.region import day as days
 from chalkgrade.region.day import Fault
+from chalkgrade.region.fleet import play_day
 from chalkgrade.region.world import World, tell
 from test_gap import _long
 from test_membership import _until
@@ -25,12 +28,21 @@
 FAULT = "[[faults]]\nat = 3.0\nkind = "
 Patch = pytest.MonkeyPatch
 
-# Two meetings a day; each of the eight at least once, seeds on which both came about.
+# Two meetings a day; each of them at least once, seeds on which both came about.
 DAYS: list[tuple[int, Maker, Maker]] = [
     (1, meetings.isolated, meetings.late_writes),
     (2, meetings.refused, meetings.copies),
     (3, meetings.held, meetings.handed),
     (3, meetings.unreached, meetings.apart),
+    (1, meetings.booted, meetings.unanswered),
+    (1, meetings.moment, meetings.at_end),
+    (1, meetings.single, meetings.watched),
+    (1, meetings.changing, meetings.mute),
+    (1, meetings.begun, meetings.bound),
+    (1, meetings.delayed, meetings.zone),
+    (1, meetings.away, meetings.crowded),
+    (1, meetings.all_limited, meetings.begun),
+    (2, meetings.limited, meetings.ten),
 ]
 
 
@@ -41,7 +53,41 @@
     assert found["came_about"], f"no pass: {found['missing']} did not come about"
     assert found["lost"] == found["copies_believed"] == 0
     assert found["silent_s_max"] < 75.0 and found["largest_begin_s_max"] < 240.0
-    assert found["served_least"] >= 0.5
+    assert found["served_least"] >= 0.5 and found["idle_room_s_max"] < 90.0
+
+
+def test_every_meeting_has_a_day_and_none_comes_about_by_itself() -> None:
+    """Else a day would pass for one on which the meeting was met."""
+    assert {make for _, *both in DAYS for make in both} == set(meetings.MEETINGS)
+    made, _ = meetings.day(1, (meetings.apart,))
+    made.faults = []
+    world, broken = play_day(made, 1, Meet)
+    assert isinstance(world, Meet) and not broken
+    rng = random.Random(1)
+    drawn = [make(rng, 20.0) for make in meetings.MEETINGS]
+    assert [meeting.name for meeting in drawn if meeting.came(world)] == []
+    assert len({meeting.name for meeting in drawn}) == 25
+
+
+def test_a_summary_says_by_meeting_how_often_it_came_about() -> None:
+    one, other = meetings.play(0, meetings.unreached), meetings.play(1, meetings.unreached)
+    told = meetings.summary([one, other])
+    assert told["days"] == 2 and told["broken"] == told["went_back"] == told["over_limit"] == 0
+    assert told["came"]["unreached"] == f"{one['came_about'] + other['came_about']} of 2"
+    assert told["came"]["mute"] == "0 of 0"
+    assert told["silent_s_max"] == max(one["silent_s_max"], other["silent_s_max"])
+    assert told["served_least"] == min(one["served_least"], other["served_least"])
+
+
+def test_drawn_days_have_pairs_and_triples_and_every_25th_is_large() -> None:
+    days = [meetings.day(seed) for seed in range(100)]
+    assert {len(chosen) for _, chosen in days} == {2, 3}
+    assert {made.controllers for made, _ in days} == {3, 5}
+    up = [sum(room.up for room in made.rooms) for made, _ in days]
+    assert [seed for seed, count in enumerate(up) if count == 600] == [24, 49, 74, 99]
+    drawn = {meeting.name for _, chosen in days for meeting in chosen}
+    assert len(drawn) == 25
+    assert any(fault.kind == "odd_requests" for made, _ in days for fault in made.faults)
 
 
 def _answers_while_it_shelters(patch: Patch) -> None:
