Answers: own records are scanned once more after the batches, instead of a look-up a question

Cause: that a lone record of its own was looked up by its end cost a transaction or two a question. Change: one more scan of own records for all who ask, only where some job has no record in a batch. Open commits: a record that is found says all there, so its end is not read. Aborts end within the users' time. The end between two reads of the record has an exact test; the bug is found.

--- a/src/chalkgrade/serving/intake.py
+++ b/src/chalkgrade/serving/intake.py
@@ -281,7 +281,8 @@
             return LATER
         answer = await self._ask(leader, what, name, timeout)
         if answer[0] == 200 and answer[1].get("status") in FINAL:
-            self.remember(name, answer[1]["status"], answer[1].get("done", 0))
+            of = str(answer[1].get("nameId", ""))  # `name` may be a whole submission
+            self.remember(of, answer[1]["status"], answer[1].get("done", 0))
         elif what == "status":
             told = answer[1].get("told") if answer[0] == OPEN else answer[1]
             if answer[0] in (200, OPEN) and told is not None:
@@ -326,9 +327,13 @@
             return 200, known
         if not is_id(name):
             return UNKNOWN
-        answer = await self._from_leader("abort", name, constants.INTAKE_DEADLINE_S)
-        if answer[0] == 404:
-            answer = await self.telling.settle(name, answer)
+        try:
+            async with asyncio.timeout(constants.INTAKE_DEADLINE_S):
+                answer = await self._from_leader("abort", name, constants.INTAKE_DEADLINE_S)
+                if answer[0] == 404:
+                    answer = await self.telling.settle(name, answer)
+        except TimeoutError:
+            return LATER
         answer = self.telling.latest(answer)
         if answer[0] == 200 and answer[1]["status"] not in FINAL:
             return LATER  # accepted just now: the leader has yet to learn of it
--- a/src/chalkgrade/serving/reading.py
+++ b/src/chalkgrade/serving/reading.py
@@ -111,7 +111,7 @@
         `told`: what the leader says; it stands if none of them was executed by now. As in
         `read`, the end comes last: a record that is gone, or does not say so, turned into it.
         """
-        doubtful = told is None
+        known, doubtful = told is not None, False
         for key in dict.fromkeys(keys):
             if key == END_PREFIX + name:
                 doubtful = True
@@ -119,12 +119,14 @@
             mark = await self._mark(name, key)
             if mark is not None and mark.aborted:
                 return 200, self.remember(name, "withdrawn", 0)
-            if mark is not None and told is None:
-                if mark.waits:
-                    return await self.read(name, led=False)  # all records are needed
-                told = await self._live_answer(mark, {name: mark})
-            doubtful = doubtful or mark is None or mark.doubtful
-        if doubtful:
+            if mark is None or mark.doubtful:
+                doubtful = True
+            elif not known and mark.waits:
+                return await self.read(name, led=False)  # all records are needed
+            elif not known:
+                # The book lacks it, so that nobody can have aborted it: where it is says all.
+                return 200, await self._live_answer(mark, {name: mark})
+        if doubtful or not known:
             row = await self._row(END_PREFIX + name)
             if row is not None:
                 end = msgspec.json.decode(row.v, type=EndValue)
@@ -188,26 +190,31 @@
         # One read for all of them is taken from what questions may take.
         await self.ledger.asking.wait()
         self.reading, self.next_reading = self.next_reading, None
-        rows, _ = await self.ledger.scan(JOB_PREFIX)
-        own = [msgspec.json.decode(row.v, type=Mark) for row in rows]
-        out = {mark.spec.nameId: mark for mark in own}
-        alone = dict(out)
+        out = await self._own()
+        alone = set(out)
         rows, _ = await self.ledger.scan(BATCH_PREFIX)
         for row in rows:
             for mark in msgspec.json.decode(row.v, type=Marks).jobs:
                 mark.doubtful = len(row.v) > self.ledger.limits.value_b
                 twin = out.setdefault(mark.spec.nameId, mark)
-                # A record of its own is removed with the end: while it is there, and its
-                # batch's record after it, nothing was over.
+                # A record of its own is removed with the end: while it is there, nothing is over.
                 twin.aborted = twin.aborted or mark.aborted
                 twin.doubtful = twin.doubtful and mark.doubtful
-                alone.pop(mark.spec.nameId, None)
-        for mark in alone.values():
-            # A batch may have said that it is aborted, and both are gone since (found on the
-            # bench, where answers were lost and so many jobs had two records).
-            mark.doubtful = True
+                alone.discard(mark.spec.nameId)
+        # Of the others a batch may have said that it is aborted, and both are gone since: found on
+        # the bench, where answers were lost and many jobs had two records. What is still there
+        # was not over, so no batch had it.
+        still = await self._own() if alone else {}
+        for name in alone:
+            out[name] = still.get(name, out[name])
+            out[name].doubtful = name not in still
         return out
 
+    async def _own(self) -> dict[str, Mark]:
+        rows, _ = await self.ledger.scan(JOB_PREFIX)
+        marks = [msgspec.json.decode(row.v, type=Mark) for row in rows]
+        return {mark.spec.nameId: mark for mark in marks}
+
     async def cancelled(self, name: str, marks: Mapping[str, Mark]) -> bool:
         """Whether something before a job on record is cancelled; NoAnswer where unknown.
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -324,9 +324,33 @@
     assert JOB_PREFIX + name in world.store.keys and END_PREFIX + name not in world.store.keys
 
 
+async def _over_between_two_reads(world: Held) -> None:
+    """The same; its end, which removes both records, falls between two reads of the record."""
+    await _cancelled_by_its_batch(world)
+    name = "run-000001"
+    lead = _leader(world)
+    assert lead is not None
+    third = world.nodes[[m for m in world.members if m != lead.settings.member][-1]]
+    assert third is not None
+    plain, scans = third.ledger.scan, list[str]()
+
+    async def scan(under: str) -> Any:
+        found = await plain(under)
+        scans.append(under)
+        if len(scans) == 1:
+            assert JOB_PREFIX + name in [row.k for row in found[0]]
+            await _until(world, 60.0, lambda: END_PREFIX + name in world.store.keys)
+        return found
+
+    third.ledger.scan = scan  # type: ignore[method-assign]
+    answer = await world.within(third.settings.member, third.intake.reading.read(name, led=False))
+    assert answer[1]["status"] == "withdrawn" and scans[:2] == [JOB_PREFIX, BATCH_PREFIX], answer
+
+
 Story = Callable[[Held], Awaitable[None]]
 STORIES: list[Story] = [_accepted_unheard, _ended_unheard, _cancelled_unheard]
 STORIES += [_cancelled_by_its_own, _cancelled_by_its_batch]
+STORIES.append(_over_between_two_reads)
 
 
 def _held(story: Story, seed: int = 3) -> None:
@@ -420,6 +444,19 @@
     patch.setattr(Reading, "settle", settle)
 
 
+def _own_record_is_proof(patch: Patch) -> None:
+    """What the first scan has shown of a job is not looked at again."""
+    plain = Reading._scan
+
+    async def once(self: Reading, before: Any) -> dict[str, Mark]:
+        marks = await plain(self, before)
+        for mark in marks.values():
+            mark.doubtful = False
+        return marks
+
+    patch.setattr(Reading, "_scan", once)
+
+
 @pytest.mark.parametrize(
     ("bug", "rule"),
     [
@@ -447,6 +484,7 @@
         (_own_key_only, _accepted_unheard),
         (_own_key_only, _cancelled_by_its_batch),
         (_always_pending, _cancelled_by_its_own),
+        (_own_record_is_proof, _over_between_two_reads),
     ],
 )
 def test_a_bug_is_found_by_the_commit_that_it_is_about(
