Lost answers: clean-up is waited for from the job's end

Cause: the test counted three seconds from the moment in which the cancellation was told; the job is over only once its machines have said so, which is later on other draws. Change: it waits for the end, then three seconds for the clean-up.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -235,9 +235,12 @@
         world.spawn(world.user(_short(number, tasks=8, expectedS=2.0), None))
         await asyncio.sleep(1.0)
     await _until(world, 300.0, lambda: all(job["over"] for job in world.jobs.values()))
-    await asyncio.sleep(3.0)
+    # Told as soon as it is called off; over once its machines have said so.
+    await _until(world, 20.0, lambda: END_PREFIX + "run-000002" in world.store.keys)
+    await _until(
+        world, 3.0, lambda: not any(key.startswith(TASK_PREFIX) for key in world.store.keys)
+    )
     assert [status for _, status in world.unheard if status == 200], "answers were lost"
-    assert not [key for key in world.store.keys if key.startswith(TASK_PREFIX)]
     world.left = 0
     await _settled(world)
     assert _token(world) == token
