--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -98,7 +98,7 @@
             await asyncio.sleep(constants.COALESCE_S)
 
     async def _share(self) -> None:
-        """Where changes are short, submissions share them, and leave most of them to the rest.
+        """Where changes are short, submissions share them, and leave as many to the rest.
 
         Each alone takes one, before any of several that ends need at once are at hand.
         """
