Limits: teams at their limits, machines that can't be asked, cancellations, changes of leader

Cause: cancelled work on a machine that is deaf (its reports arrive, answers are lost) stayed counted against its team's limit after a change of leader: what such a machine reports proves nothing of an earlier leader's launches, it is not silent, and it was returned only 2.5 leases after it was found deaf. Safe, but the limit stood unused.

Change: the backstop that returns silent machines with cancelled work takes machines that hear nothing, too.

--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -235,12 +235,13 @@
         coming = [[job, in_s, job.spec.tasks] for job, in_s in self.coming()]
         for machine in self.fleet.machines.values():
             if machine.attempts or machine.tasks or machine.reported_at is None:
-                # The backstop for aborted work on a machine that does not answer.
+                # The backstop for aborted work on a machine that does not answer, or does not
+                # hear: it counts against its team's limit until it is proved gone, and what a
+                # deaf machine reports proves nothing of an earlier leader's launches.
                 silent = now - max(machine.reported_at or 0.0, machine.known_at)
-                if silent > self.fleet.silent_s and any(
-                    a.job.aborted for a in machine.attempts.values()
-                ):
-                    self._doom(machine, "aborted work on a silent machine")
+                lost = silent > self.fleet.silent_s or machine.hearing.deaf
+                if lost and any(a.job.aborted for a in machine.attempts.values()):
+                    self._doom(machine, "aborted work on a machine that can't be asked")
                 continue
             idle = now - max(machine.busy_at, self.began)
             if idle > patience and not machine.releasing and not self._kept(machine, coming):
