--- a/src/chalkgrade/state/leadership.py
+++ b/src/chalkgrade/state/leadership.py
@@ -83,6 +83,7 @@
         self.ended_under_us_at = -1e9  # when one ended though we ran and were served
         self.changed = Signal()  # we know of another leader, or of none
         self._offer: _Offer | None = None
+        self._giving = False  # a commit that moves the key to a successor may be under way
         self._permit = 0
         self._ttl_s = constants.LEASE_TTL_S
         self._touched_at = self._failed_at = -1e9
@@ -126,7 +127,8 @@
                     continue
                 ours = self._note(row)
                 value = msgspec.json.decode(row.v, type=LeaderValue)
-                if ours is None and row.permit is not None and self._left_over(value):
+                left_over = not self._giving and self._left_over(value)
+                if ours is None and row.permit is not None and left_over:
                     log.info("token %d is left over: ending its lease", row.stamp)
                     await self._ledger.end(row.permit)
                 ours = ours or await self._follow(row.stamp)
@@ -185,20 +187,29 @@
         goes with it unless it is the successor's already.
         """
         token, own = self.token, self._permit
+        # Else our own loop, which may read the key before the commit is executed, takes it for
+        # left over and ends its lease: the commit then fails, and everybody campaigns.
+        self._giving = True
         self.depose()
-        value = LeaderValue(member, nonce, lease_s, home)
+        try:
+            moved = await self._move(token, LeaderValue(member, nonce, lease_s, home), permit)
+            try:
+                await self._ledger.end(own)
+            except FAILURES as error:
+                log.debug("ending our lease: %s", error)
+        finally:
+            self._giving = False
+        return moved
+
+    async def _move(self, token: int, value: LeaderValue, permit: int) -> bool:
+        """The commit that moves the key; whether it surely did."""
         write = {"write": LEADER_KEY, "v": value, "permit": permit}
         try:
             await self._ledger.commit({LEADER_KEY: token}, [write], constants.HANDOVER_S)
-            moved = True
         except (*FAILURES, Conflict) as error:
-            log.warning("handing over to %s: %s", member, error)
-            moved = False
-        try:
-            await self._ledger.end(own)
-        except FAILURES as error:
-            log.debug("ending our lease: %s", error)
-        return moved
+            log.warning("handing over to %s: %s", value.member, error)
+            return False
+        return True
 
     def know(self, member: str | None) -> None:
         """Who leads, as far as we know; whoever waits for it looks again."""
