Workers that came back are told from copies by the second that they wait; reports held until a new leader acted

Cause: a copy kept for the next leader reached a controller that does not lead, and the machine's own report right after it passed for a worker that had come back from the leader: it was relayed for 40 s, and three of them within 6 s relayed all. Change: who is back within 0.9 s was never there (the protocol's second after a failure, less drift). The test sends such a report first now, and waits a second for the true one. test_lost_machines: reports held for a lease and until their machines are returned.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -235,6 +235,7 @@
 KEEPALIVE_S: Final = 120.0  # s; an idle connection is kept; workers report every few seconds
 STATE_STALE_S: Final = 2.5  # s; without a state answer before /up asks the peers
 RELAY_WINDOW_S: Final = 20.0  # s; a worker back within this after a redirect is relayed
+RELAY_LEAST_S: Final = 0.9  # s; one back sooner was never there: workers wait for 1 s, less drift
 RELAY_S: Final = 40.0  # s; so long relayed, a worker tries the leader itself again
 # The longest hold of a relayed report, RELAY_HOLD_S and two ANSWER_HOLD_S, stays below this,
 # and this below the 4 s after which workers give up.
--- a/src/chalkgrade/serving/reception.py
+++ b/src/chalkgrade/serving/reception.py
@@ -137,7 +137,9 @@
         last = self.redirected.get(report.host, _Sent(-1e9, (0, 0)))
         if key <= last.key:
             return 421, {"reportsTo": leader}  # a copy: nobody came back from anywhere
-        came_back = now - last.at < constants.RELAY_WINDOW_S
+        # Who tried the leader waited for a second after that: what comes sooner was sent before,
+        # and the one before it was a copy, as they come in the first second of a term.
+        came_back = constants.RELAY_LEAST_S <= now - last.at < constants.RELAY_WINDOW_S
         if came_back:
             self.views.returned(leader)
         if came_back and report.host not in self.relayed:
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -176,11 +176,44 @@
     await watch.over(400.0)
 
 
+async def _held(world: World, seconds: float) -> None:
+    """Reports of half of the busy machines come once a new leader has acted, all at once."""
+    watch = Watch(world)
+    await watch.begun(16)
+    chosen = set(_busy(world)[::2])
+    came: list[tuple[str, int]] = []
+    for member in world.members:
+        plain = world.servers[member]
+
+        async def serve(source: str, *rest: Any, plain: Any = plain) -> Any:
+            if source in chosen and rest[1] == "/hello":
+                came.append((source, rest[2]["baton"]))
+            return await plain(source, *rest)
+
+        world.servers[member] = serve
+    world.cut(chosen, set(world.members), seconds, True)
+    node = _leader(world)
+    assert node is not None
+    world.spawn(world.restart(node.settings.member, 2.0))
+    await asyncio.sleep(seconds - 0.5)
+    heir = _leader(world)
+    assert heir is not None and heir.term is not None
+    assert not came
+    await asyncio.sleep(1.0)
+    assert came and all(baton < heir.term.fleet.token for _, baton in came)
+    returned = chosen - world.workers.keys()
+    assert bool(returned) == (seconds > 2.5 * world.LEASE_S), "the new leader has acted"
+    assert not returned & heir.term.fleet.machines.keys(), "revived"
+    await watch.over(200.0)
+
+
 STORIES: list[tuple[str, Story]] = [
     ("mute for less than a lease", lambda world: _mute(world, 5.0)),
     ("mute for two leases", lambda world: _mute(world, 24.0)),
     ("mute for four leases", lambda world: _mute(world, 48.0)),
     ("mute, and two changes of leader", lambda world: _mute(world, 24.0, 2)),
+    ("held for a second lease", lambda world: _held(world, 16.0)),
+    ("held until they are returned", lambda world: _held(world, 45.0)),
     ("a zone with who leads", lambda world: _zone_away(world, True)),
     ("a zone with who does not lead", lambda world: _zone_away(world, False)),
     ("all controllers", _all_away),
@@ -207,9 +240,21 @@
     patch.setattr(Fleet, "hold", hold)
 
 
+def _forgets_who_is_gone(patch: Patch) -> None:
+    plain = Fleet.drop
+
+    def drop(self: Fleet, machine: Any) -> Any:
+        lost = plain(self, machine)
+        self.gone.pop(machine.name)
+        return lost
+
+    patch.setattr(Fleet, "drop", drop)
+
+
 BUGS: list[tuple[str, Callable[[Patch], None], str]] = [
     ("mute for two leases", _gone_when_silent, "ran_twice"),
     ("mute, and two changes of leader", _gone_when_silent, "ran_twice"),
+    ("held until they are returned", _forgets_who_is_gone, "revived"),
     ("a zone with who leads", _gone_when_silent, "ran_twice"),
     ("a zone with who does not lead", _gone_when_silent, "ran_twice"),
     ("all controllers", _live_is_done, "not_done"),
--- a/tests/test_one_way.py
+++ b/tests/test_one_way.py
@@ -423,7 +423,13 @@
             assert answer == (status, {"reportsTo": lead})
         assert not reception.relayed and not reception.bounced
         assert other.views.of[lead].returned_at == before
-        raw = raw.replace(b'"seq":5', b'"seq":9')
+        # A newer one at once: what came before was a copy, and this is the worker itself.
+        raw = raw.replace(b'"seq":5', b'"seq":8')
+        answer = await world.within(other.settings.member, other.handle("POST", "/hello", raw))
+        assert answer == (421, {"reportsTo": lead}) and not reception.relayed
+        assert other.views.of[lead].returned_at == before
+        await asyncio.sleep(1.0)
+        raw = raw.replace(b'"seq":8', b'"seq":9')
         await world.within(other.settings.member, other.handle("POST", "/hello", raw))
         assert other.views.of[lead].returned_at > before  # a newer report: it did come back
 
