Run times are learnt only of tasks whose beginning was seen

Cause: what an earlier leader had started counted, when done, from its first report to the new one: each change of leader made classes look shorter than they are. Change: only attempts decided in the term are observed.

--- a/src/chalkgrade/leading/scheduling.py
+++ b/src/chalkgrade/leading/scheduling.py
@@ -61,7 +61,8 @@
         self.wanted.set()
 
     def on_ended(self, machine: Machine | None, attempt: Attempt, cause: str) -> None:
-        if cause == "done" and attempt.since:
+        # Of what an earlier leader started we have not seen the beginning: it would pass for short.
+        if cause == "done" and attempt.since and attempt.decided:
             self.queues.observe_run(attempt.job, self.clock.now() - attempt.since)
         self.wanted.set()
 
--- a/tests/test_reports_at_start.py
+++ b/tests/test_reports_at_start.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from chalkgrade.leading.scheduling import Scheduling
 from chalkgrade.leading.term import Term
 from chalkgrade.machines.fleet import Fleet
 from chalkgrade.machines.hearing import Hearing
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, play, tell
+from chalkgrade.sharing.queues import Queues
 from test_gap import _long
 from test_membership import _leader, _until
 
@@ -244,3 +246,42 @@
     assert world.given > 20 and ForNext.first and ForNext.behind
     assert not [name for name, job in world.jobs.items() if not job["over"]]
     assert world.silent_most < 75.0
+
+
+@pytest.mark.parametrize("bug", [False, True])
+def test_what_ran_under_an_earlier_leader_is_no_short_run(bug: bool, monkeypatch: Patch) -> None:
+    """Its first report to us is not its beginning: estimates would fall with each new leader."""
+    seen: list[float] = []
+    plain = Queues.observe_run
+
+    def observe_run(self: Queues, job: Any, seconds: float) -> None:
+        seen.append(seconds)
+        plain(self, job, seconds)
+
+    monkeypatch.setattr(Queues, "observe_run", observe_run)
+    if bug:
+        before = Scheduling.on_ended
+
+        def on_ended(self: Scheduling, machine: Any, attempt: Any, cause: str) -> None:
+            attempt.decided = attempt.decided or 1.0
+            before(self, machine, attempt, cause)
+
+        monkeypatch.setattr(Scheduling, "on_ended", on_ended)
+
+    async def story(world: World) -> None:
+        for number in range(1, 5):
+            world.spawn(world.user(_long(number, 4) | {"expectedS": 30.0}, None))
+        await _until(world, 60.0, lambda: len(world.present()) == 16)
+        await asyncio.sleep(12.0)
+        await _new_term(world)
+        carried = {task.name for _, task in world.present()}
+        assert carried
+        seen.clear()
+        await _until(world, 120.0, lambda: all(job["over"] for job in world.jobs.values()))
+        assert all(seconds > 0.45 * 30.0 for seconds in seen), "short"
+
+    if bug:
+        with pytest.raises(AssertionError, match="short"):
+            tell(story, 6, loss=0.0)
+    else:
+        tell(story, 6, loss=0.0)
