A submission by a node of its own is answered though the commit's answer is lost

Cause: such a commit stood for its time-out of 1 s, each lost answer once more. Change: it goes by what it wrote, as a leader's commits do.

--- a/src/chalkgrade/serving/intake.py
+++ b/src/chalkgrade/serving/intake.py
@@ -228,15 +228,22 @@
         if refused is not None:
             return refused
         value = JobValue(spec, self.clock.wall())
+
+        async def look() -> int:
+            """Whoever made the job's own key, it is accepted: what is true of it is read next."""
+            row = await self.ledger.get(JOB_PREFIX + name)
+            return 0 if row is None else row.stamp
+
         for attempt in range(2):
             try:
                 if spec.waitsOn is not None:
                     value = await apart.keep(self.ledger, value)
-                await self.ledger.commit(
+                commit = self.ledger.commit(
                     {JOB_PREFIX + name: 0, END_PREFIX + name: 0},
                     [{"write": JOB_PREFIX + name, "v": msgspec.Raw(apart.record(value))}],
                     timeout=constants.STATE_TIMEOUT_S / 2,
                 )
+                await self.ledger.settled(commit, look)
             except Conflict:
                 status, known = await self.query(name)
                 return status if status != 404 else 503, known
