--- a/src/chalkgrade/record/book.py
+++ b/src/chalkgrade/record/book.py
@@ -16,7 +16,7 @@
 from chalkgrade.logs import about
 from chalkgrade.outside import NoAnswer, Signal, encode
 from chalkgrade.record import apart
-from chalkgrade.record.changes import Admission, Batch, Change, Kept, Write, raw
+from chalkgrade.record.changes import Admission, Batch, Change, Kept, Over, Write, raw, together
 from chalkgrade.record.jobs import (
     BATCH_PREFIX,
     END_PREFIX,
@@ -53,7 +53,7 @@
         self.remember = remember  # tells the intake about final states
         self.on_job = on_job  # a job is known now; whether it was submitted just now
         self.jobs: dict[str, Job] = {}
-        self.over: dict[str, str] = {}  # jobs that ended under this token, and how
+        self.over = Over()
         # Told of jobs that are durably over, or durably aborted, so that others follow.
         self.on_over: Callable[[Job, str], None] = lambda job, status: None
         self.on_aborted: Callable[[Job], None] = lambda job: None
@@ -198,21 +198,21 @@
     async def admit(self, value: JobValue, timeout: float) -> bool:
         """Make a submission durable with others, in one change for all of them.
 
-        False when the job is known already. An answer that does not come in
-        time leaves open whether the job was accepted.
+        True only for whoever brought it, and made it: nobody was told of the job before. Else
+        it is known: what is true of it is to be asked. NoAnswer leaves open whether it is.
         """
         name = value.spec.nameId
-        admission = self.admissions.get(name)
+        if name in self.jobs or name in self.over:
+            return False  # also one whose commit here is open: known by a record of its own
+        known = admission = self.admissions.get(name)
         if admission is None:
-            if name in self.jobs or name in self.over:
-                return False
             future = asyncio.get_running_loop().create_future()
             admission = self.admissions[name] = Admission(value, apart.record(value), future)
             self.admit_wanted.set()
         done, _ = await asyncio.wait({admission.result}, timeout=timeout)
         if not done:
             raise NoAnswer("not durable in time")
-        return admission.result.result()
+        return known is None and admission.result.result()
 
     def abort(self, job: Job) -> None:
         """Have a job's abort written; nothing of it is started from now on, what runs is stopped.
@@ -292,7 +292,7 @@
         for job in self.aborting:
             if not job.over:
                 yield self._abort(job)
-        for job in list(self.ending):
+        for job in together(self.ending):
             if job.name in self.admissions:
                 # Another node accepted it too, and our own commit of it is under way: ended
                 # before that is known, it would stay in the batch (found on a seeded day,
--- a/src/chalkgrade/region/fleet.py
+++ b/src/chalkgrade/region/fleet.py
@@ -70,7 +70,7 @@
             "pullGb": work.image_gb,
             "hosttypes": None,
             "site": work.zone or None,
-            "oneZone": False,
+            "oneZone": work.one_zone,
             "spread": False,
             "standby": work.spot,
             "expectedS": 0.0 if work.shape == "service" else run_s,
@@ -158,10 +158,27 @@
                     self.spawn(self._take(name, lasts))
         elif fault.kind == "deaf":
             self.deafen(set(self.machines(fault.zone, fault.count)), lasts)
+        elif fault.kind == "mute":
+            self.mute(set(self.machines(fault.zone, fault.count)), lasts)
+        elif fault.kind == "copies" and fault.for_next:
+            self.spawn(self.keep_for_next(lasts, fault.share))
         elif fault.kind == "copies":
             self.copies = (self.now + lasts, fault.share, fault.late)
+        elif fault.kind == "late_writes" and fault.at_once:
+            self.store.unanswered = (self.now + lasts, fault.share)
         elif fault.kind == "late_writes":
             self.store.late = (self.now + lasts, fault.share, fault.late)
+        elif fault.kind == "cancel_now":
+            self.cancel_now(fault.count, fault.hang_s)
+        elif fault.kind == "cancel_at_end":
+            self.at_end = (self.now + lasts, fault.share)
+        elif fault.kind == "odd_requests":
+            self.odd_until = self.now + lasts
+            self.spawn(self.odd_requests())
+        elif fault.kind == "close_looks":
+            self.close_until = self.now + lasts
+        elif fault.kind == "quick_boots":
+            self.cloud.quick_until = self.now + lasts
         elif fault.kind == "hang":
             for name in self.machines(fault.zone, fault.count):
                 self.loop.freeze(name, self.now + lasts)
@@ -275,6 +292,8 @@
         "could_team": {key: round(v, 3) for key, v in world.could("owner").items()},
         "largest_begin_s": {key: round(v, 1) for key, v in world.largest_begin().items()},
         "silent_s_max": round(world.silent_most, 1),
+        "idle_room_s_max": round(world.idle.most, 1),
+        "starts_after_cancel": world.starts_after_cancel,
         "wait_s_p50": {key: round(percentile(v, 0.5), 2) for key, v in sorted(waits.items())},
         "wait_s_p95": {key: round(percentile(v, 0.95), 2) for key, v in sorted(waits.items())},
         "machines_rented": world.cloud.number,
