--- a/src/chalkgrade/region/idle.py
+++ b/src/chalkgrade/region/idle.py
@@ -93,6 +93,8 @@
     def _judged(self, name: str, job: dict[str, Any]) -> bool:
         """Whether a job should run: cancelled, faulty, licensed and early ones aside."""
         spec = job["spec"]
+        if "at" not in job:
+            return False  # a test's own, which no controller was told of
         if spec["jobclass"] == "doomed" or spec.get("licences") or self.world.withdrawn(job):
             return False
         tool = self.world.tool
