--- a/src/chalkgrade/region/worker.py
+++ b/src/chalkgrade/region/worker.py
@@ -220,7 +220,7 @@
 
     def _launch(self, name: str, number: int) -> None:
         world = self.world
-        world.used.add(self.name)
+        world.used.setdefault(self.name, world.now)
         job = world.jobs.get(name.rpartition("/")[0])
         task = Task(name, number, job["spec"] if job else {})
         twin = any(t.name == name and t.status != "ended" for t in self.tasks.values())
@@ -296,6 +296,9 @@
         if task.began:
             self._save(task)
         task.status, task.cause = "ended", cause
+        if cause == "error":
+            failures = self.world.failures
+            failures[task.spec["nameId"]] = failures.get(task.spec["nameId"], 0) + 1
         self._gone(task)
         current = asyncio.current_task()
         for timer in task.timers:
