--- a/src/chalkgrade/experiments/meetings.py
+++ b/src/chalkgrade/experiments/meetings.py
@@ -352,7 +352,7 @@
         times = _times(day)
         for team in day.teams:
             team.cpus = min(team.cpus, 8.0 * times)
-            team.cpus_max = 12.0 * times
+            team.cpus_max = 16.0 * times
             day.classes.append(
                 Work(f"fills_{team.name}", [team.name], urgency="prod", tasks=(3, 5),
                      run_s=(20.0, 40.0), at_start=3 * times)
