--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -14,7 +14,12 @@
 STARVE_S: Final = 30.0  # s; a queue whose oldest job waits longer gets half of its fair share
 STARVE_BELOW: Final = 0.5  # of that half: who holds more is served, if slowly, and left alone
 STARVE_MOST: Final = 0.5  # of the capacity, that such queues get before others
+LARGEST_PART: Final = 0.1  # of a class's unfinished jobs count as its largest
+LARGEST_WAIT_S: Final = 60.0  # s; those of them that wait longer get a part of their queue's room
+LARGEST_LATEST_S: Final = 150.0  # s; the same for those that can still meet a bound
+LARGEST_SHARE: Final = 0.3  # of the room of their queue, for the longest-waiting until it is done
 STARVE_KEEP: Final = 0.05  # of the machines, kept for tasks of theirs that need much of one
+DRAIN_STAY_S: Final = 10.0  # s; a machine that empties for a queue stays chosen if so little later
 FAIR_LEAST: Final = 0.25  # of the capacity, evenly to all teams beside their guarantees
 ROUND_REST: Final = 4.0  # times what a round took: at least so long is left for other work
 ESTIMATE_ALPHA: Final = 0.3  # weight of a new observation in the run-time correction of a class
@@ -249,6 +254,7 @@
 KEEPALIVE_S: Final = 120.0  # s; an idle connection is kept; workers report every few seconds
 STATE_STALE_S: Final = 2.5  # s; without a state answer before /up asks the peers
 RELAY_WINDOW_S: Final = 20.0  # s; a worker back within this after a redirect is relayed
+RELAY_LEAST_S: Final = 0.9  # s; one back sooner was never there: workers wait for 1 s, less drift
 RELAY_S: Final = 40.0  # s; so long relayed, a worker tries the leader itself again
 # The longest hold of a relayed report, RELAY_HOLD_S and two ANSWER_HOLD_S, stays below this,
 # and this below the 4 s after which workers give up.
