--- a/tests/test_halves.py
+++ b/tests/test_halves.py
@@ -84,9 +84,9 @@
 DAYS += [_wide_beside_narrow_urgent, _one_class_fails, _a_zone_that_one_class_needs]
 
 
-# On (desk, 7 and 17) and (whole machines, 1) a flood's own largest jobs, or whole machines for another
-# team, got less than half before the floor saw them. What fails on other seeds stands in
-# docs/measurements.md.
+# On (desk, 7 and 17) and (whole machines, 1) a flood's own largest jobs, or whole machines for
+# another team, got less than half before the floor saw them. What fails on other seeds stands
+# in docs/measurements.md.
 LARGEST = [(_sixfold("desk", "quote"), seed) for seed in (7, 17)]
 LARGEST += [(_sixfold_in_whole_machines, seed) for seed in (1, 2)]
 
