--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -342,7 +342,7 @@
         Where no other one fits, none is rented beside a machine that has room: it would wait
         there until whatever else runs on that one has ended.
         """
-        if len(job.failed_on) > constants.FAULTY_MACHINES:
+        if not 0 < len(job.failed_on) <= constants.FAULTY_MACHINES:
             return ()
         known = filter(None, map(self.fleet.machines.get, job.failed_on))
         return [m.name for m in known if self.now < m.failed_at + constants.SHUN_S]
--- a/src/chalkgrade/sharing/stops.py
+++ b/src/chalkgrade/sharing/stops.py
@@ -122,14 +122,19 @@
         of six times the work: the machine that was kept was another one every second, the
         CPUs that had come free on the last one were taken, and none was ever empty.
         """
-        now, soonest = self.floor.now, self.floor.fitting(job.spec)
-        late = soonest[0][0] + constants.DRAIN_STAY_S if soonest else 0.0
+        now = self.floor.now
 
-        def stays(entry: tuple[float, str, Slot]) -> bool:
-            queue, at = self.floor.fleet.machines[entry[1]].drains
-            return queue == job.group and now - at < constants.DRAIN_STAY_S and entry[0] <= late
+        def order() -> Iterable[tuple[float, str, Slot]]:
+            soonest = self.floor.fitting(job.spec)
+            late = soonest[0][0] + constants.DRAIN_STAY_S if soonest else 0.0
+
+            def stays(entry: tuple[float, str, Slot]) -> bool:
+                queue, at = self.floor.fleet.machines[entry[1]].drains
+                recent = queue == job.group and now - at < constants.DRAIN_STAY_S
+                return recent and entry[0] <= late
+
+            return sorted(soonest, key=lambda entry: not stays(entry))
 
-        order = sorted(soonest, key=lambda entry: not stays(entry))
         for slot in self._keep(job, count, constants.STARVE_KEEP, order):
             self.floor.fleet.machines[slot.name].drains = (job.group, now)
 
@@ -138,13 +143,20 @@
 
         No more machines than a part of all are kept, for whomever.
         """
-        soonest = self.floor.fitting(job.spec)
-        waits = {slot.name: wait for wait, _, slot in soonest}
-        return [waits[slot.name] for slot in self._keep(job, count, part, soonest)]
+        kept = self._keep(job, count, part, lambda: self.floor.fitting(job.spec))
+        names = {slot.name for slot in kept}
+        if not names:
+            return []  # so it mostly is: the machines are not gone through for it
+        return [wait for wait, name, _ in self.floor.fitting(job.spec) if name in names]
 
     def _keep(
-        self, job: Job, count: int, part: float, order: Iterable[tuple[float, str, Slot]]
+        self,
+        job: Job,
+        count: int,
+        part: float,
+        order: Callable[[], Iterable[tuple[float, str, Slot]]],
     ) -> list[Slot]:
+        """`order`: the machines, worked out only where some may be kept."""
         spec = job.spec
         if not any(fits(room, spec.room) and room != spec.room for room in self.rooms):
             return []  # nothing smaller waits: whatever frees up is as good for this job
@@ -153,7 +165,7 @@
         most = math.ceil(every * part) - self.kept.count
         most = self.gates.able(job, min(count, most))
         out: list[Slot] = []
-        for _, _, slot in order:
+        for _, _, slot in order() if most > 0 else ():
             if len(out) >= most:
                 break
             # What was placed there in this round is not in its wait: it is not soon free.
