Two docstrings say what was found, not what was suspected first

The standing leader's cause was the length of a log's value; cancellations from inside are a guard that was reasoned, never seen. No behaviour.

--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -139,7 +139,7 @@
         What holds durable state is rebuilt under a new token; deciding where
         things run starts again, since the same input would meet the next leader.
         A cancellation that nobody asked this task for is a bug like any other: taken for the
-        term's end, it left a leader that placed work and wrote nothing.
+        term's end, it would leave a leader that places work and writes nothing.
         """
         task = asyncio.current_task()
         while True:
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -89,8 +89,8 @@
     async def watch(self) -> None:
         """Return once the main lane has stood for long while this node surely led.
 
-        Found on the bench, once in eleven days of late transactions: for seven minutes a leader
-        placed work that was never written, with machines idle, and nothing said so. Whatever
+        Found on the bench: for seven minutes a leader placed work that was never written, with
+        machines idle, and nothing said so (a value of the log was too long, see `oplog`). Whatever
         makes it stand, the next leader reads the record and goes on.
         """
         stood, seen = 0.0, self.rounds
