--- /dev/null
+++ b/src/chalkgrade/renting/needs.py
@@ -0,0 +1,108 @@
+"""Which waiting work machines are to be there for, in the order in which it would start."""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from chalkgrade import constants
+from chalkgrade.record.jobs import Job, JobSpec
+from chalkgrade.renting.plan import Need
+from chalkgrade.renting.report import PlanReport
+from chalkgrade.sharing.domain import Domain
+
+
+def _alike(one: JobSpec, other: JobSpec) -> bool:
+    """Whether the same machines serve both alike."""
+    return all(
+        getattr(one, name) == getattr(other, name)
+        for name in ("owner", "shape", "rank", "room", "hosttypes", "site", "standby", "tasks")
+    )
+
+
+class WaitingWork:
+    """The leader's waiting jobs as the needs of a rental plan."""
+
+    def __init__(self, domain: Domain, able: Callable[[Job, int], int]) -> None:
+        self._settings = domain.office.settings
+        self._book = domain.book
+        self._fleet = domain.fleet
+        self._queues = domain.queues
+        self._flavors = domain.flavors
+        self._able = able  # how many waiting tasks could start, as far as gates are concerned
+
+    def needs(self, coming: Iterable[tuple[Job, float]], report: PlanReport) -> list[Need]:
+        """Waiting work within the teams' maxima; `coming`: jobs, and in how many s they may run."""
+        out: list[Need] = []
+        room = self._room()
+        jobs = [job for job in self._book.jobs.values() if not job.held]
+        for job in sorted(jobs, key=self._queues.order):
+            spec = self._bound(job)
+            # A faulty job, or one without seats, gets no more machines than it may use.
+            tasks = self._able(job, job.startable)
+            if job.aborted or job.aborting or not tasks:
+                continue
+            report.of(spec.owner).wanted += tasks * spec.vcpus
+            if spec.vcpus > 0 and room[spec.owner] < float("inf"):
+                tasks = min(tasks, int(max(0.0, room[spec.owner]) / spec.vcpus))
+                room[spec.owner] -= tasks * spec.vcpus
+            if tasks:
+                report.of(spec.owner).allowed += tasks * spec.vcpus
+                self._add(out, Need(spec, tasks, self._queues.run_s(job), self._patience_s(job)))
+        out += self._coming(coming, room)
+        return out
+
+    def _room(self) -> dict[str, float]:
+        """CPUs that each team's maximum leaves."""
+        teams = self._settings.cluster.teams
+        room = {team.name: team.cpus_max or float("inf") for team in teams}
+        for job in self._book.jobs.values():
+            if not job.held:
+                owner = job.spec.owner
+                room[owner] = room.get(owner, 0.0) - job.spec.vcpus * len(job.live)
+        return room
+
+    def _patience_s(self, job: Job) -> float:
+        guest = self._queues.guest(job)
+        patience = constants.GUEST_PATIENCE_S if guest else constants.PATIENCE_S
+        return min(patience, max(0.0, self._queues.slack(job)))
+
+    def _add(self, out: list[Need], need: Need) -> None:
+        """A thousand jobs of one task each are planned as one of a thousand."""
+        last = out[-1] if out else None
+        if last is None or last.spec.shape == "gang" or not _alike(last.spec, need.spec):
+            out.append(need)
+            return
+        last.run_s += (need.run_s - last.run_s) * need.tasks / (last.tasks + need.tasks)
+        last.tasks += need.tasks
+        last.patience_s = min(last.patience_s, need.patience_s)
+
+    def _coming(
+        self, coming: Iterable[tuple[Job, float]], room: dict[str, float]
+    ) -> Iterable[Need]:
+        """Jobs that may run before a machine that is rented then would be up."""
+        boot_s = min((flavor.bootS for flavor in self._flavors.values()), default=0.0)
+        for job, in_s in coming:
+            spec = job.spec
+            tasks = spec.tasks
+            left = room.setdefault(spec.owner, 0.0)
+            if spec.vcpus > 0 and left < float("inf"):
+                tasks = min(tasks, int(max(0.0, left) / spec.vcpus))
+            if tasks and in_s <= boot_s:
+                room[spec.owner] -= tasks * spec.vcpus
+                patience = in_s + constants.PATIENCE_S
+                yield Need(spec, tasks, self._queues.run_s(job), patience)
+
+    def _bound(self, job: Job) -> JobSpec:
+        """What a job asks for, and the zone that its live tasks bind it to.
+
+        Found when a zone lost most of its machines: the cheapest room was rented in the other
+        one, where no task of the job may go, and counted as free for it from then on.
+        """
+        spec = job.spec
+        if not (spec.oneZone and job.live) or spec.site is not None or spec.shape == "gang":
+            return spec
+        known = (self._fleet.machines.get(attempt.machine) for attempt in job.live.values())
+        zones = {machine.site if machine else "" for machine in known}
+        if len(zones) > 1 or "" in zones:
+            return spec
+        return msgspec.structs.replace(spec, site=zones.pop())
--- a/src/chalkgrade/renting/plan.py
+++ b/src/chalkgrade/renting/plan.py
@@ -10,6 +10,7 @@
 from chalkgrade.machines.placement import allowed
 from chalkgrade.record.jobs import JobSpec
 from chalkgrade.renting.boots import Boots
+from chalkgrade.renting.report import PlanReport
 
 
 @dataclass
@@ -125,6 +126,7 @@
     flavors: dict[str, Flavor],
     blocked: Iterable[Pool],
     boots: Boots | None = None,
+    report: PlanReport | None = None,
 ) -> dict[Pool, int]:
     """How many machines to rent from which pool.
 
@@ -137,6 +139,7 @@
     shut = set(blocked)
     out: dict[Pool, int] = {}
     seen = boots or Boots()
+    told = report or PlanReport()
 
     def boot_s(pool: Pool) -> float:
         return seen.expected(pool, flavors[pool[0]].bootS)
@@ -146,6 +149,7 @@
         if out[pool] >= constants.RENT_MAX:
             shut.add(pool)
         lanes.add(pool, boot_s(pool), cpus)
+        told.of(spec.owner).rented += int(flavors[pool[0]].vcpus)
 
     for need in needs:
         spec, left = need.spec, need.tasks
@@ -177,6 +181,7 @@
                 # Nothing can be rented for what is left, however late: it only keeps
                 # the others waiting. A huge job must not cost a step each wave.
                 lanes.delay(usable, left * width, need.run_s)
+                told.laid(spec.owner, left * spec.vcpus, float("inf"), need.patience_s)
                 break
             # Tasks that start at the same moment are laid at once.
             tasks = left if gang else max(1, min(left, lanes.first(usable) // width))
@@ -194,6 +199,7 @@
                 for pool, _, cpus in taken:
                     lanes.add(pool, start + need.run_s, cpus)
                 left -= tasks
+                told.laid(spec.owner, tasks * spec.vcpus, start, need.patience_s)
                 continue
             for pool, free, cpus in taken:
                 lanes.add(pool, free, cpus)
--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -7,35 +7,27 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
-import msgspec
-
 from chalkgrade import constants
 from chalkgrade.logs import about
 from chalkgrade.machines.fleet import Machine
 from chalkgrade.machines.kinds import BOTH, Pool, kept_flavors, per_machine
 from chalkgrade.machines.placement import allowed
 from chalkgrade.outside import NoAnswer
-from chalkgrade.record.jobs import Attempt, Job, JobSpec
+from chalkgrade.record.jobs import Attempt, Job
 from chalkgrade.renting.boots import Boots
 from chalkgrade.renting.cloud import Cloud, Refused
-from chalkgrade.renting.plan import Have, Need, plan_rent
-from chalkgrade.seams.parts import Part
+from chalkgrade.renting.needs import WaitingWork
+from chalkgrade.renting.plan import Have, plan_rent
+from chalkgrade.renting.report import PlanReport
+from chalkgrade.seams.parts import Part, Sample
 from chalkgrade.sharing.domain import Domain
 
 log = logging.getLogger("chalkgrade.renting")
 
 
-def _alike(one: JobSpec, other: JobSpec) -> bool:
-    """Whether the same machines serve both alike."""
-    return all(
-        getattr(one, name) == getattr(other, name)
-        for name in ("owner", "shape", "rank", "room", "hosttypes", "site", "standby", "tasks")
-    )
-
-
 class Renter(Part):
     """The leader's dealings with the cloud."""
 
@@ -58,7 +50,9 @@
         self.loops = [self.run]
         self.cloud = cloud
         self.live = domain.live
-        self.able = able  # how many waiting tasks could start, as far as gates are concerned
+        self.waiting = WaitingWork(domain, able)
+        self.report = PlanReport()  # of the last plan
+        self.told_at = -1e9
         self.lost = lost  # an attempt went with its machine
         self.wanted = asyncio.Event()
         self.blocked: dict[Pool, float] = {}
@@ -103,6 +97,19 @@
             pool = (machine.hosttype, machine.site, machine.standby)
             self.boots.came(pool, machine.born, self.clock.now(), flavor.bootS)
 
+    def samples(self) -> Iterable[Sample]:
+        return self.report.samples()
+
+    def _tell(self, now: float) -> None:
+        """Say what the last plan made of each team's work: seldom to operators, else for traces."""
+        if not self.report.teams:
+            return
+        often = now - self.told_at < constants.TELL_EVERY_S
+        if not often:
+            self.told_at = now
+        level = logging.DEBUG if often else logging.INFO
+        log.log(level, "rental plan: %s", self.report.line(), extra=about(self.fleet.token))
+
     def refused(self) -> set[Pool]:
         """Pools that had no capacity of late."""
         now = self.clock.now()
@@ -279,67 +286,6 @@
                     return True
         return False
 
-    def _needs(self) -> list[Need]:
-        """Waiting work in the order in which it would start, within the teams' maxima."""
-        out: list[Need] = []
-        teams = self.settings.cluster.teams
-        room = {team.name: team.cpus_max or float("inf") for team in teams}
-        jobs = sorted(
-            (job for job in self.book.jobs.values() if not job.held), key=self.queues.order
-        )
-        for job in jobs:
-            room[job.spec.owner] = room.get(job.spec.owner, 0.0) - job.spec.vcpus * len(job.live)
-        for job in jobs:
-            spec = self._bound(job)
-            # A faulty job, or one without seats, gets no more machines than it may use.
-            tasks = self.able(job, job.startable)
-            if job.aborted or job.aborting or not tasks:
-                continue
-            if spec.vcpus > 0 and room[spec.owner] < float("inf"):
-                tasks = min(tasks, int(max(0.0, room[spec.owner]) / spec.vcpus))
-                room[spec.owner] -= tasks * spec.vcpus
-            if not tasks:
-                continue
-            guest = self.queues.guest(job)
-            patience = constants.GUEST_PATIENCE_S if guest else constants.PATIENCE_S
-            patience = min(patience, max(0.0, self.queues.slack(job)))
-            run_s = self.queues.run_s(job)
-            last = out[-1] if out else None
-            if last is not None and last.spec.shape != "gang" and _alike(last.spec, spec):
-                # A thousand jobs of one task each are planned as one of a thousand.
-                last.run_s += (run_s - last.run_s) * tasks / (last.tasks + tasks)
-                last.tasks += tasks
-                last.patience_s = min(last.patience_s, patience)
-            else:
-                out.append(Need(spec, tasks, run_s, patience))
-        boot_s = min((flavor.bootS for flavor in self.flavors.values()), default=0.0)
-        for job, in_s in self.coming():
-            # It may run before a machine that is rented then would be up.
-            tasks = job.spec.tasks
-            left = room.setdefault(job.spec.owner, 0.0)
-            if job.spec.vcpus > 0 and left < float("inf"):
-                tasks = min(tasks, int(max(0.0, left) / job.spec.vcpus))
-            if tasks and in_s <= boot_s:
-                room[job.spec.owner] -= tasks * job.spec.vcpus
-                patience = in_s + constants.PATIENCE_S
-                out.append(Need(job.spec, tasks, self.queues.run_s(job), patience))
-        return out
-
-    def _bound(self, job: Job) -> JobSpec:
-        """What a job asks for, and the zone that its live tasks bind it to.
-
-        Found when a zone lost most of its machines: the cheapest room was rented in the other
-        one, where no task of the job may go, and counted as free for it from then on.
-        """
-        spec = job.spec
-        if not (spec.oneZone and job.live) or spec.site is not None or spec.shape == "gang":
-            return spec
-        known = (self.fleet.machines.get(attempt.machine) for attempt in job.live.values())
-        zones = {machine.site if machine else "" for machine in known}
-        if len(zones) > 1 or "" in zones:
-            return spec
-        return msgspec.structs.replace(spec, site=zones.pop())
-
     async def _rent(self) -> None:
         """Rent until nothing more is wanted or every pool that would do has refused."""
         while self.live():
@@ -348,16 +294,19 @@
             doubtful, probing = self._doubtful(now)
             shut += probing
             self.planned_at = now
-            needs = self._needs()
+            self.report = PlanReport()
+            needs = self.waiting.needs(self.coming(), self.report)
             self.work_waits = bool(needs)
             if needs:
                 closed = [*shut, *self.hires]
-                wanted = plan_rent(needs, self._have(now), self.flavors, closed, self.boots)
+                have = self._have(now)
+                wanted = plan_rent(needs, have, self.flavors, closed, self.boots, self.report)
                 for pool, planned in wanted.items():
                     count = min(planned, constants.BOOT_PROBES) if pool in doubtful else planned
                     self.hire_number += 1
                     self.hires[pool] = (f"h{self.fleet.token}-{self.hire_number}", count)
             self.plan_took = self.clock.now() - now
+            self._tell(now)
             if not self.hires:
                 return
             for pool, (hire, count) in list(self.hires.items()):
