Starvation guard: what it starts is not stopped for urgency, nor started again and again

Cause: the guard gives a queue that has waited half of its fair share, and in the same round the team's own urgent work, refused at the team's maximum, stops less urgent work of its team. Mend: an attempt knows that the guard started it, and is no victim of urgency; a guarantee still gets back what others have beyond theirs.

--- a/src/chalkgrade/machines/placement.py
+++ b/src/chalkgrade/machines/placement.py
@@ -28,6 +28,7 @@
     lost: float  # CPU-seconds of work that stopping it now would lose
     stopping: bool = False
     saves: bool = False  # what it has done lasts when it is stopped
+    guarded: bool = False  # more urgent work does not stop it
 
 
 @dataclass
@@ -347,7 +348,8 @@
     teams run in excess of theirs (`excess`: how much); the protocol lets nothing
     else be stopped for a job.
     With `own`, only the job's own team makes room: it is at its maximum, and
-    room on the machine alone would not help. With `borrowed_only`, lower
+    room on the machine alone would not help. What the guard against starvation started is
+    not stopped for urgency: it would be started again at once. With `borrowed_only`, lower
     priorities are left alone, too; with `savers_only`, all that does not save is.
     """
     free: Vector = (0.0, 0.0, max(0.0, slot.free[2])) if own else slot.free
@@ -368,7 +370,8 @@
         )
         if borrowed and excess is not None and over is not None:
             excess[occupant.owner] = minus(over, occupant.room[:2])
-        if borrowed or (occupant.rank < spec.rank and not borrowed_only):
+        lower = occupant.rank < spec.rank and not occupant.guarded
+        if borrowed or (lower and not borrowed_only):
             free = plus(free, occupant.room)
             out.append(occupant)
     return out if fits(spec.room, free) else None
--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -173,6 +173,7 @@
         "since",
         "decided",
         "kill_sent",
+        "guarded",
     )
 
     def __init__(self, job: "Job", index: int, number: int, machine: str, op: int) -> None:
@@ -187,6 +188,7 @@
         self.kill_sent = False  # an order to stop it may have been executed
         self.since = 0.0  # when it was first seen running
         self.decided = 0.0  # when it was placed; 0: under an earlier leader
+        self.guarded = False  # started by the guard against starvation: urgency does not stop it
 
     @property
     def name(self) -> str:
--- a/src/chalkgrade/sharing/floor.py
+++ b/src/chalkgrade/sharing/floor.py
@@ -110,6 +110,7 @@
             lost * spec.vcpus,
             stopping,
             spec.savepointS > 0,
+            attempt.guarded,
         )
 
     def fitting(self, spec: JobSpec) -> list[tuple[float, str, Slot]]:
--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -58,6 +58,7 @@
         self.patient = True  # work may wait for machines that hold its image
         self._pickers: dict[object, Picker] = {}
         self.stopped = 0  # running tasks that were told to stop
+        self.guarding = False  # placing for queues that starve
 
     def run(self) -> int:
         """Place what can be placed; how many attempts were decided."""
@@ -95,7 +96,9 @@
             jobs.sort(key=self.queues.order)
         placed += self._fill_guarantees(ready)
         demands = self.demands.of(ready)
+        self.guarding = True
         placed += self._fill_starving(ready, demands, capacity)
+        self.guarding = False
         first, rest = allocate(list(demands.values()), capacity)
         for _, group in itertools.groupby(first, key=lambda entry: demands[entry[0]].urgency):
             # What bounds need, shortest remaining first: in an overload, parts of all
@@ -387,6 +390,7 @@
         """Put a task on a slot whose room it has taken."""
         attempt = job.place(index, slot.name, number)
         attempt.decided = self.now
+        attempt.guarded = self.guarding
         if log.isEnabledFor(logging.DEBUG):
             what = about(self.fleet.token, job.name, slot.name, attempt.label)
             log.debug("%s to %s", attempt.label, slot.name, extra=what)
--- a/src/chalkgrade/sharing/stops.py
+++ b/src/chalkgrade/sharing/stops.py
@@ -73,7 +73,7 @@
 
     def may_stop(self, attempt: Attempt, job: Job) -> bool:
         spec = attempt.job.spec
-        if spec.rank < job.spec.rank:
+        if spec.rank < job.spec.rank and not attempt.guarded:
             return True
         over = self._excess().get(spec.owner) if self.guaranteed else None
         return spec.owner != job.spec.owner and over is not None and fits(spec.room[:2], over)
--- a/tests/test_team_at_its_maximum.py
+++ b/tests/test_team_at_its_maximum.py
@@ -105,7 +105,7 @@
 
 
 def _occupant(guarded: bool, owner: str = "red") -> Occupant:
-    return Occupant("a/0", 1, owner, 1, (1.0, 0.0, 1.0), 9.0, 0.5, guarded=guarded)
+    return Occupant("a/0", 1, owner, 1, (1.0, 0.0, 4.0), 9.0, 0.5, guarded=guarded)
 
 
 def _slot(occupant: Occupant) -> Slot:
