Rental plan: a team at its maximum counts the tasks that may start as its running ones end

Cause, by the plan's line: needs were cut to what the maximum leaves now and then laid on CPUs that come free later, most of them the team's own, whose successors were not counted. Mend: the maxima for CPUs and GPUs are lanes beside the CPUs of machines: a task is laid where both come free, and a machine is rented where the CPU is what is late. What a silent machine or a service holds does not come free by itself; what is held beyond a lowered limit is given up first. A gang that its maximum does not let start whole is not rented for. The other 42 are rented now, so that the bug put in hurts nobody there.

--- a/src/chalkgrade/renting/needs.py
+++ b/src/chalkgrade/renting/needs.py
@@ -1,11 +1,13 @@
 """Which waiting work machines are to be there for, in the order in which it would start."""
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 
 import msgspec
 
 from chalkgrade import constants
-from chalkgrade.record.jobs import Job, JobSpec
+from chalkgrade.record.jobs import Attempt, Job, JobSpec
+from chalkgrade.renting.headroom import NEVER, Headroom, Lane
 from chalkgrade.renting.plan import Need
 from chalkgrade.renting.report import PlanReport
 from chalkgrade.sharing.domain import Domain
@@ -24,6 +26,7 @@
 
     def __init__(self, domain: Domain, able: Callable[[Job, int], int]) -> None:
         self._settings = domain.office.settings
+        self._clock = domain.office.clock
         self._book = domain.book
         self._fleet = domain.fleet
         self._queues = domain.queues
@@ -31,35 +34,46 @@
         self._able = able  # how many waiting tasks could start, as far as gates are concerned
 
     def needs(self, coming: Iterable[tuple[Job, float]], report: PlanReport) -> list[Need]:
-        """Waiting work within the teams' maxima; `coming`: jobs, and in how many s they may run."""
+        """Waiting work; `coming`: jobs, and in how many s they may run."""
         out: list[Need] = []
-        room = self._room()
         jobs = [job for job in self._book.jobs.values() if not job.held]
         for job in sorted(jobs, key=self._queues.order):
-            spec = self._bound(job)
             # A faulty job, or one without seats, gets no more machines than it may use.
             tasks = self._able(job, job.startable)
             if job.aborted or job.aborting or not tasks:
                 continue
+            spec = self._bound(job)
             report.of(spec.owner).wanted += tasks * spec.vcpus
-            if spec.vcpus > 0 and room[spec.owner] < float("inf"):
-                tasks = min(tasks, int(max(0.0, room[spec.owner]) / spec.vcpus))
-                room[spec.owner] -= tasks * spec.vcpus
-            if tasks:
-                report.of(spec.owner).allowed += tasks * spec.vcpus
-                self._add(out, Need(spec, tasks, self._queues.run_s(job), self._patience_s(job)))
-        out += self._coming(coming, room)
-        return out
-
-    def _room(self) -> dict[str, float]:
-        """CPUs that each team's maximum leaves."""
-        teams = self._settings.cluster.teams
-        room = {team.name: team.cpus_max or float("inf") for team in teams}
+            self._add(out, Need(spec, tasks, self._queues.run_s(job), self._patience_s(job)))
+        return out + list(self._coming(coming))
+
+    def headroom(self) -> dict[str, Headroom]:
+        """What the maxima of the teams that have some leave, now and as running tasks end."""
+        ends: dict[str, list[tuple[float, JobSpec]]] = defaultdict(list)
         for job in self._book.jobs.values():
-            if not job.held:
-                owner = job.spec.owner
-                room[owner] = room.get(owner, 0.0) - job.spec.vcpus * len(job.live)
-        return room
+            for attempt in job.live.values():
+                ends[job.spec.owner].append((self._ends_in_s(attempt), job.spec))
+        return {
+            team.name: Headroom(
+                Lane(team.cpus_max, [(at, spec.vcpus) for at, spec in ends[team.name]])
+                if team.cpus_max
+                else None,
+                Lane(team.gpus_max, [(at, spec.gpus) for at, spec in ends[team.name]])
+                if team.gpus_max
+                else None,
+            )
+            for team in self._settings.cluster.teams
+            if team.cpus_max or team.gpus_max
+        }
+
+    def _ends_in_s(self, attempt: Attempt) -> float:
+        """In how many seconds it leaves its room, as far as that can be expected."""
+        machine = self._fleet.machines.get(attempt.machine)
+        if attempt.job.spec.shape == "service" or machine is None:
+            return NEVER
+        if not self._fleet.hopeful(machine):
+            return NEVER  # it counts until the machine is heard of again, or surely gone
+        return self._queues.left_s(attempt, self._clock.now())
 
     def _patience_s(self, job: Job) -> float:
         guest = self._queues.guest(job)
@@ -76,21 +90,13 @@
         last.tasks += need.tasks
         last.patience_s = min(last.patience_s, need.patience_s)
 
-    def _coming(
-        self, coming: Iterable[tuple[Job, float]], room: dict[str, float]
-    ) -> Iterable[Need]:
+    def _coming(self, coming: Iterable[tuple[Job, float]]) -> Iterable[Need]:
         """Jobs that may run before a machine that is rented then would be up."""
         boot_s = min((flavor.bootS for flavor in self._flavors.values()), default=0.0)
         for job, in_s in coming:
-            spec = job.spec
-            tasks = spec.tasks
-            left = room.setdefault(spec.owner, 0.0)
-            if spec.vcpus > 0 and left < float("inf"):
-                tasks = min(tasks, int(max(0.0, left) / spec.vcpus))
-            if tasks and in_s <= boot_s:
-                room[spec.owner] -= tasks * spec.vcpus
+            if in_s <= boot_s:
                 patience = in_s + constants.PATIENCE_S
-                yield Need(spec, tasks, self._queues.run_s(job), patience)
+                yield Need(job.spec, job.spec.tasks, self._queues.run_s(job), patience)
 
     def _bound(self, job: Job) -> JobSpec:
         """What a job asks for, and the zone that its live tasks bind it to.
--- a/src/chalkgrade/renting/plan.py
+++ b/src/chalkgrade/renting/plan.py
@@ -2,7 +2,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from chalkgrade import constants
@@ -10,6 +10,7 @@
 from chalkgrade.machines.placement import allowed
 from chalkgrade.record.jobs import JobSpec
 from chalkgrade.renting.boots import Boots
+from chalkgrade.renting.headroom import Headroom, step
 from chalkgrade.renting.report import PlanReport
 
 
@@ -41,8 +42,8 @@
         counts: dict[tuple[Pool, float], int] = {}
         for machine in have:
             for free, cpus in machine.free_in:
-                step = math.ceil(free / constants.PLAN_STEP_S) * constants.PLAN_STEP_S
-                counts[machine.pool, step] = counts.get((machine.pool, step), 0) + cpus
+                key = machine.pool, step(free)
+                counts[key] = counts.get(key, 0) + cpus
         self.pools: dict[Pool, list[tuple[float, int]]] = {}
         for (pool, free), cpus in counts.items():
             self.add(pool, free, cpus)
@@ -127,12 +128,15 @@
     blocked: Iterable[Pool],
     boots: Boots | None = None,
     report: PlanReport | None = None,
+    headroom: Mapping[str, Headroom] | None = None,
 ) -> dict[Pool, int]:
     """How many machines to rent from which pool.
 
     Waiting tasks are laid on the CPUs there are, in the order in which they
     would start; where a task would wait longer than its job's patience, and
-    longer than a new machine takes to boot, a machine is added.
+    longer than a new machine takes to boot, a machine is added. A team's tasks
+    count from when its maxima let them start (`headroom`, by team), as far as that
+    is in time for their patience, or for a machine that is rented now.
     """
     machines = list(have)
     lanes = _Lanes(machines)
@@ -151,8 +155,14 @@
         lanes.add(pool, boot_s(pool), cpus)
         told.of(spec.owner).rented += int(flavors[pool[0]].vcpus)
 
+    soonest_s = min((flavor.bootS for flavor in flavors.values()), default=0.0)
     for need in needs:
         spec, left = need.spec, need.tasks
+        maxima = (headroom or {}).get(spec.owner) or Headroom()
+        within_s = max(need.patience_s, soonest_s)
+        gang = spec.shape == "gang"
+        if maxima.start(spec, left if gang else 1, within_s) > within_s:
+            continue
         width = max(1, math.ceil(spec.vcpus - 1e-9))
         every = {(f.sku, site, spot) for f in flavors.values() for site in f.sites for spot in BOTH}
         # Machines too small for one task don't help it, however many of them are free.
@@ -163,7 +173,6 @@
             and pool[0] in flavors
             and per_machine(spec, flavors[pool[0]]) >= 1
         )
-        gang = spec.shape == "gang"
         missing = 0
         if gang:
             # All at once: what fits the machines one after the other does not help it.
@@ -177,27 +186,36 @@
             missing -= offer[1]
         hopeless: set[bool] = set()  # whether dear pools were asked, too, and none would do
         while left > 0:
+            may_start = maxima.start(spec, left if gang else 1, within_s)
+            if may_start > within_s:
+                break  # what is left may not start in time, whatever is rented
             if True in hopeless:
                 # Nothing can be rented for what is left, however late: it only keeps
                 # the others waiting. A huge job must not cost a step each wave.
+                left = maxima.count(spec, left, within_s)
+                maxima.take(spec, left)
                 lanes.delay(usable, left * width, need.run_s)
                 told.laid(spec.owner, left * spec.vcpus, float("inf"), need.patience_s)
                 break
             # Tasks that start at the same moment are laid at once.
-            tasks = left if gang else max(1, min(left, lanes.first(usable) // width))
+            at_once = maxima.count(spec, left, may_start)
+            tasks = left if gang else max(1, min(at_once, lanes.first(usable) // width))
             taken = lanes.take(usable, tasks * width)
             full = sum(cpus for _, _, cpus in taken) == tasks * width
             start = max(free for _, free, _ in taken) if full else float("inf")
             offer = None
-            if start > need.patience_s and _dear(start) not in hopeless:
+            if start > max(need.patience_s, may_start) and _dear(start) not in hopeless:
                 offer = _offer(spec, left, start, flavors, shut)
                 if offer is None:
                     hopeless.add(_dear(start))  # pools only close while a plan is made
                 if offer is not None and boot_s(offer[0]) >= start:
                     offer = None
             if offer is None and start < float("inf"):
+                start = max(start, may_start)
                 for pool, _, cpus in taken:
                     lanes.add(pool, start + need.run_s, cpus)
+                maxima.take(spec, tasks)
+                maxima.give(spec, tasks, start + need.run_s)
                 left -= tasks
                 told.laid(spec.owner, tasks * spec.vcpus, start, need.patience_s)
                 continue
--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -300,7 +300,8 @@
             if needs:
                 closed = [*shut, *self.hires]
                 have = self._have(now)
-                wanted = plan_rent(needs, have, self.flavors, closed, self.boots, self.report)
+                room = self.waiting.headroom()
+                wanted = plan_rent(needs, have, self.flavors, closed, self.boots, self.report, room)
                 for pool, planned in wanted.items():
                     count = min(planned, constants.BOOT_PROBES) if pool in doubtful else planned
                     self.hire_number += 1
--- a/src/chalkgrade/renting/report.py
+++ b/src/chalkgrade/renting/report.py
@@ -15,7 +15,6 @@
     """CPUs of one team's waiting tasks in one plan, by what the plan did about them."""
 
     wanted: float = 0.0  # of all tasks that may start as far as gates are concerned
-    allowed: float = 0.0  # of those that the maximum lets start in time
     free: float = 0.0  # laid on CPUs that are free now
     soon: float = 0.0  # laid on CPUs that come free within the job's patience
     late: float = 0.0  # laid on CPUs that come free later, as nothing better can be rented
@@ -45,8 +44,8 @@
     def line(self) -> str:
         """The log's line: teams in order."""
         return "; ".join(
-            f"{team}: wants {plan.wanted:g} CPUs, may start {plan.allowed:g}; on free"
-            f" {plan.free:g}, soon {plan.soon:g}, late {plan.late:g}, rented {plan.rented:g}"
+            f"{team}: wants {plan.wanted:g} CPUs; on free {plan.free:g},"
+            f" soon {plan.soon:g}, late {plan.late:g}, rented {plan.rented:g}"
             for team, plan in sorted(self.teams.items())
         )
 
--- a/tests/test_halves.py
+++ b/tests/test_halves.py
@@ -56,6 +56,16 @@
     return change
 
 
+def _sixfold_without_a_maximum(day: Day) -> None:
+    """The flood may use all machines, so that nothing but the guard leaves others any room.
+
+    Under a maximum of 150 of 192 CPUs others have the rest: what a team at its maximum lacked
+    was not rented once, and then the rest was not there either.
+    """
+    _sixfold("desk", "quote")(day)
+    next(team for team in day.teams if team.name == "desk").cpus_max = 0.0
+
+
 def _sixfold_in_whole_machines(day: Day) -> None:
     """Urgent tasks that fill a machine each: six times the fleet, jobs of four sizes."""
     flood = _work("quote", "flood", teams=["desk"], tasks=(4, 16), run_s=(15.0, 40.0))
@@ -81,6 +91,7 @@
 
 DAYS = [_eightfold(work.name) for work in BASE.classes]
 DAYS += [_sixfold("desk", "quote"), _sixfold("nightly", "rebuild"), _sixfold("lab", "wide")]
+DAYS += [_sixfold_without_a_maximum]
 DAYS += [_wide_beside_narrow_urgent, _one_class_fails, _a_zone_that_one_class_needs]
 
 
@@ -110,7 +121,7 @@
 ) -> None:
     """The class `wide` had nothing done in minutes, while others' tasks came and went."""
     monkeypatch.setattr(constants, "STARVE_S", 1e9)
-    assert any("wide" in missing for missing in _play(_sixfold("desk", "quote")).unserved())
+    assert any("wide" in missing for missing in _play(_sixfold_without_a_maximum).unserved())
 
 
 @pytest.mark.parametrize("change", DAYS)
