Writer: a value that can't be written is named and counted; the log of attempts must itself move

The look for a lane that stands counted any commit as progress, so a log whose value no commit can hold was hidden by ends and cancellations written beside it. Mend: a value over the limit is logged once with key, size and what waits, and counted (unwritable_values); while operations of the log wait, only its own progress counts.

--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -31,7 +31,7 @@
 from chalkgrade.renting.joint import Joint
 from chalkgrade.renting.renter import Renter
 from chalkgrade.seams import subsystems
-from chalkgrade.seams.parts import Loop, Part, Sample, by_label
+from chalkgrade.seams.parts import Loop, Part, Sample, by_label, gauge
 from chalkgrade.sharing.domain import Domain
 from chalkgrade.sharing.queues import Queues
 from chalkgrade.state.ledger import Conflict, NotExecuted
@@ -313,4 +313,6 @@
         """Figures for /metrics."""
         for part in self.parts:
             yield from part.samples()
+        unwritable = len(self.writer.unwritable)
+        yield gauge("unwritable_values", "Values over the state service's limit", unwritable)
         yield by_label("attempts", "Ended attempts by cause", "cause", self.counts)
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -37,6 +37,7 @@
         self.fates = Fates()  # of the commits that are under way
         self.rounds = 0  # how often the main lane had nothing left to write, or wrote something
         self.idle = True  # the main lane has nothing to write
+        self.unwritable: dict[str, int] = {}  # key -> bytes of a value that no commit can hold
 
     def collect(self) -> tuple[list[Change], Edits]:
         """The next commit's changes: as many as a commit may hold and the budget has now."""
@@ -50,7 +51,7 @@
         for change in self.book.wanted():
             if change.batch is not None and change.batch.busy:
                 continue  # its records change right now: once that is durable
-            if any(len(write.value or b"") > limits.rewrite_b for write in change.writes):
+            if self._refused(change):
                 continue  # it would be refused, now and for ever: a record made under others
             new = change.batch is not None and change.batch not in edits
             writes = len(change.writes) + new
@@ -69,6 +70,38 @@
                 edits.setdefault(change.batch, {}).update(change.edits)
         return out, edits
 
+    def _refused(self, change: Change) -> bool:
+        """Whether a change has a value over the limit; said once for each value."""
+        most = self.ledger.limits.rewrite_b
+        refused = False
+        for write in change.writes:
+            size = len(write.value or b"")
+            if size <= most:
+                self.unwritable.pop(write.key, None)
+                continue
+            refused = True
+            if self.unwritable.get(write.key) != size:
+                self.unwritable[write.key] = size
+                log.warning(
+                    "%s can't be written: %d bytes of %d; %d operations of the log wait",
+                    write.key,
+                    size,
+                    most,
+                    len(self.book.log.pending),
+                )
+        return refused
+
+    def _moved(self) -> tuple[str, int]:
+        """What changes as the main lane writes.
+
+        While operations of the log wait it is the log itself: the starts and ends of tasks do not
+        become durable by other changes that are written beside them.
+        """
+        attempts = self.book.log
+        if attempts.pending:
+            return "log", attempts.durable
+        return "lane", self.rounds
+
     async def flush(self) -> None:
         """Work off what is to be written, for ever."""
         while True:
@@ -93,11 +126,12 @@
         machines idle, and nothing said so (a value of the log was too long, see `oplog`). Whatever
         makes it stand, the next leader reads the record and goes on.
         """
-        stood, seen = 0.0, self.rounds
+        stood, seen = 0.0, self._moved()
         while stood < constants.STALL_S:
             await asyncio.sleep(constants.STALL_LOOK_S)
-            moved = self.idle or self.rounds != seen or not self.office.leadership.acting()
-            stood, seen = 0.0 if moved else stood + constants.STALL_LOOK_S, self.rounds
+            now = self._moved()
+            moved = self.idle or now != seen or not self.office.leadership.acting()
+            stood, seen = 0.0 if moved else stood + constants.STALL_LOOK_S, now
         log.error("nothing was written for %.0f s though there is much; stepping down", stood)
 
     async def _gather(self) -> None:
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -1,8 +1,8 @@
 """A leader's log of attempts always drains, and where it does not, that is seen and said.
 
 Once on the bench (late transactions, derwent-dispatch-hunt, seed 7002) nothing was started for
-400 s beside 592 idle machines. Drawn backlogs showed a value of the log that was seven bytes too long
-and left out of every commit. Nothing in the log of that run named it, and the look for a lane
+400 s beside 592 idle machines. Drawn backlogs showed a value of the log that was seven bytes too
+long and left out of every commit. Nothing in the log of that run named it, and the look for a lane
 that stands did not see it: other changes (ends, cancellations) went on being written, and each of
 those counted as progress. So a value that can't be written is named and counted now, and the log of
 attempts must itself move while operations wait.
@@ -11,6 +11,7 @@
 import asyncio
 import logging
 import random
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -18,7 +19,7 @@
 from chalkgrade import constants
 from chalkgrade.outside import encode
 from chalkgrade.record.book import Book
-from chalkgrade.record.changes import Change
+from chalkgrade.record.changes import Change, Write
 from chalkgrade.record.oplog import LOG_PREFIX, Op, OpLog
 from chalkgrade.record.writer import Writer
 from chalkgrade.region.world import World, tell
@@ -127,13 +128,10 @@
             def level() -> float:
                 return 8.0
 
-    from types import SimpleNamespace
-
-    from chalkgrade.record.changes import Write
-
     changes: list[Change] = []
     office: Any = SimpleNamespace(ledger=Ledger, token=1)
-    writer = Writer(office, SimpleNamespace(wanted=lambda: changes))  # type: ignore[arg-type]
+    book: Any = SimpleNamespace(wanted=lambda: changes, log=SimpleNamespace(pending=()))
+    writer = Writer(office, book)
     changes.append(Change(lambda revision: None, [Write("cg/a", 0, b"x" * 101)]))  # type: ignore[list-item]
     assert writer.collect()[0] == [] and writer.unwritable == {"cg/a": 101}
     changes[0].writes[0].value = b"x"  # type: ignore[assignment]
