--- a/src/chalkgrade/renting/needs.py
+++ b/src/chalkgrade/renting/needs.py
@@ -1,7 +1,6 @@
 """Which waiting work machines are to be there for, in the order in which it would start."""
 
-from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -21,12 +20,15 @@
     )
 
 
+def _lane(limit: float, busy: Iterable[tuple[float, float]]) -> Lane | None:
+    return Lane(limit, busy) if limit else None
+
+
 class WaitingWork:
     """The leader's waiting jobs as the needs of a rental plan."""
 
     def __init__(self, domain: Domain, able: Callable[[Job, int], int]) -> None:
         self._settings = domain.office.settings
-        self._clock = domain.office.clock
         self._book = domain.book
         self._fleet = domain.fleet
         self._queues = domain.queues
@@ -47,34 +49,27 @@
             self._add(out, Need(spec, tasks, self._queues.run_s(job), self._patience_s(job)))
         return out + list(self._coming(coming))
 
-    def headroom(self) -> dict[str, Headroom]:
-        """What the maxima of the teams that have some leave, now and as running tasks end."""
-        ends: dict[str, list[tuple[float, JobSpec]]] = defaultdict(list)
+    def headroom(self, ends: Mapping[Attempt, float]) -> dict[str, Headroom]:
+        """What the maxima of the teams that have some leave, now and as running tasks end.
+
+        `ends`: in how many seconds; what is not there (its machine is silent, or no more to be
+        counted on) counts against the maximum until the machine is heard of or surely gone.
+        """
+        limited = {team.name: team for team in self._settings.cluster.teams}
+        limited = {name: team for name, team in limited.items() if team.cpus_max or team.gpus_max}
+        busy: dict[str, list[tuple[float, JobSpec]]] = {name: [] for name in limited}
         for job in self._book.jobs.values():
-            for attempt in job.live.values():
-                ends[job.spec.owner].append((self._ends_in_s(attempt), job.spec))
+            if job.spec.owner in limited:
+                live = job.live.values()
+                busy[job.spec.owner] += [(ends.get(one, NEVER), job.spec) for one in live]
         return {
-            team.name: Headroom(
-                Lane(team.cpus_max, [(at, spec.vcpus) for at, spec in ends[team.name]])
-                if team.cpus_max
-                else None,
-                Lane(team.gpus_max, [(at, spec.gpus) for at, spec in ends[team.name]])
-                if team.gpus_max
-                else None,
+            name: Headroom(
+                _lane(team.cpus_max, ((at, spec.vcpus) for at, spec in busy[name])),
+                _lane(team.gpus_max, ((at, spec.gpus) for at, spec in busy[name])),
             )
-            for team in self._settings.cluster.teams
-            if team.cpus_max or team.gpus_max
+            for name, team in limited.items()
         }
 
-    def _ends_in_s(self, attempt: Attempt) -> float:
-        """In how many seconds it leaves its room, as far as that can be expected."""
-        machine = self._fleet.machines.get(attempt.machine)
-        if attempt.job.spec.shape == "service" or machine is None:
-            return NEVER
-        if not self._fleet.hopeful(machine):
-            return NEVER  # it counts until the machine is heard of again, or surely gone
-        return self._queues.left_s(attempt, self._clock.now())
-
     def _patience_s(self, job: Job) -> float:
         guest = self._queues.guest(job)
         patience = constants.GUEST_PATIENCE_S if guest else constants.PATIENCE_S
--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -19,6 +19,7 @@
 from chalkgrade.record.jobs import Attempt, Job
 from chalkgrade.renting.boots import Boots
 from chalkgrade.renting.cloud import Cloud, Refused
+from chalkgrade.renting.headroom import NEVER
 from chalkgrade.renting.needs import WaitingWork
 from chalkgrade.renting.plan import Have, plan_rent
 from chalkgrade.renting.report import PlanReport
@@ -299,8 +300,8 @@
             self.work_waits = bool(needs)
             if needs:
                 closed = [*shut, *self.hires]
-                have = self._have(now)
-                room = self.waiting.headroom()
+                have, ends = self._have(now)
+                room = self.waiting.headroom(ends)
                 wanted = plan_rent(needs, have, self.flavors, closed, self.boots, self.report, room)
                 for pool, planned in wanted.items():
                     count = min(planned, constants.BOOT_PROBES) if pool in doubtful else planned
@@ -357,9 +358,13 @@
             and (machine.hired or now - machine.known_at > constants.BOOT_KNOWN_S)
         )
 
-    def _have(self, now: float) -> list[Have]:
-        """Machines that serve or will: the listed, the booting, not the silent or sick."""
+    def _have(self, now: float) -> tuple[list[Have], dict[Attempt, float]]:
+        """Machines that serve or will: the listed, the booting, not the silent or sick.
+
+        And in how many seconds each attempt on them is over; a service's never is by itself.
+        """
         out = []
+        ends: dict[Attempt, float] = {}
         for machine in self.fleet.machines.values():
             flavor = self.flavors.get(machine.hosttype)
             if flavor is None or not self.fleet.hopeful(machine):
@@ -374,7 +379,10 @@
             busy: list[tuple[float, int]] = []
             for attempt in machine.attempts.values():
                 cpus = max(1, math.ceil(attempt.job.spec.vcpus - 1e-9))
-                busy.append((self.queues.left_s(attempt, now), cpus))
+                service = attempt.job.spec.shape == "service"
+                ends[attempt] = NEVER if service else self.queues.left_s(attempt, now)
+                busy.append((ends[attempt], cpus))
             free = max(0, int(flavor.vcpus) - sum(cpus for _, cpus in busy))
-            out.append(Have(pool, [*busy, (boot, free)]))
-        return out
+            ending = [(at, cpus) for at, cpus in busy if at < NEVER]
+            out.append(Have(pool, [*ending, (boot, free)]))
+        return out, ends
