--- a/src/chalkgrade/renting/plan.py
+++ b/src/chalkgrade/renting/plan.py
@@ -121,94 +121,106 @@
     return start > constants.DEAR_WAIT_S
 
 
-def plan_rent(
-    needs: Iterable[Need],
-    have: Iterable[Have],
-    flavors: dict[str, Flavor],
-    blocked: Iterable[Pool],
-    boots: Boots | None = None,
-    report: PlanReport | None = None,
-    headroom: Mapping[str, Headroom] | None = None,
-) -> dict[Pool, int]:
-    """How many machines to rent from which pool.
+class RentalPlan:
+    """One plan in the making: what is laid where so far, and what is to be rented."""
 
-    Waiting tasks are laid on the CPUs there are, in the order in which they
-    would start; where a task would wait longer than its job's patience, and
-    longer than a new machine takes to boot, a machine is added. A team's tasks
-    count from when its maxima let them start (`headroom`, by team), as far as that
-    is in time for their patience, or for a machine that is rented now.
-    """
-    machines = list(have)
-    lanes = _Lanes(machines)
-    shut = set(blocked)
-    out: dict[Pool, int] = {}
-    seen = boots or Boots()
-    told = report or PlanReport()
-
-    def boot_s(pool: Pool) -> float:
-        return seen.expected(pool, flavors[pool[0]].bootS)
-
-    def rent(pool: Pool, cpus: int) -> None:
-        out[pool] = out.get(pool, 0) + 1
-        if out[pool] >= constants.RENT_MAX:
-            shut.add(pool)
-        lanes.add(pool, boot_s(pool), cpus)
-        told.of(spec.owner).rented += int(flavors[pool[0]].vcpus)
-
-    soonest_s = min((flavor.bootS for flavor in flavors.values()), default=0.0)
-    for need in needs:
-        spec, left = need.spec, need.tasks
-        maxima = (headroom or {}).get(spec.owner) or Headroom()
-        within_s = max(need.patience_s, soonest_s)
-        gang = spec.shape == "gang"
-        if maxima.start(spec, left if gang else 1, within_s) > within_s:
-            continue
-        width = max(1, math.ceil(spec.vcpus - 1e-9))
+    def __init__(
+        self,
+        have: Iterable[Have],
+        flavors: dict[str, Flavor],
+        blocked: Iterable[Pool],
+        boots: Boots,
+        report: PlanReport,
+        headroom: Mapping[str, Headroom],
+    ) -> None:
+        self.rented: dict[Pool, int] = {}
+        self._machines = list(have)
+        self._lanes = _Lanes(self._machines)
+        self._flavors = flavors
+        self._shut = set(blocked)
+        self._boots = boots
+        self._report = report
+        self._headroom = headroom
+        # What a team may start only after a machine that is rented now is up can wait.
+        self._soonest_s = min((flavor.bootS for flavor in flavors.values()), default=0.0)
+
+    def add(self, need: Need) -> None:
+        """Lay the tasks of a need on what there is, and rent where they would wait too long."""
+        spec = need.spec
+        maxima = self._headroom.get(spec.owner) or Headroom()
+        within_s = max(need.patience_s, self._soonest_s)
+        if maxima.start(spec, self._together(need, need.tasks), within_s) > within_s:
+            return
+        usable = self._usable(spec)
+        if spec.shape == "gang":
+            self._rent_for_gang(need, usable)
+        self._lay(need, maxima, within_s, usable)
+
+    def _together(self, need: Need, left: int) -> int:
+        """How many of its tasks start together at least."""
+        return left if need.spec.shape == "gang" else 1
+
+    def _usable(self, spec: JobSpec) -> list[Pool]:
+        """Pools whose machines may run it; those too small for one task don't help it."""
+        flavors = self._flavors
         every = {(f.sku, site, spot) for f in flavors.values() for site in f.sites for spot in BOTH}
-        # Machines too small for one task don't help it, however many of them are free.
-        usable = sorted(
+        return sorted(
             pool
-            for pool in every | set(lanes.pools)
+            for pool in every | set(self._lanes.pools)
             if allowed(spec, *pool)
             and pool[0] in flavors
             and per_machine(spec, flavors[pool[0]]) >= 1
         )
-        missing = 0
-        if gang:
-            # All at once: what fits the machines one after the other does not help it.
-            rooms = [flavors[machine.pool[0]] for machine in machines if machine.pool in usable]
-            missing = need.tasks - sum(per_machine(spec, room) for room in rooms)
+
+    def _boot_s(self, pool: Pool) -> float:
+        return self._boots.expected(pool, self._flavors[pool[0]].bootS)
+
+    def _rent(self, spec: JobSpec, pool: Pool, cpus: int) -> None:
+        self.rented[pool] = self.rented.get(pool, 0) + 1
+        if self.rented[pool] >= constants.RENT_MAX:
+            self._shut.add(pool)
+        self._lanes.add(pool, self._boot_s(pool), cpus)
+        self._report.of(spec.owner).rented += int(self._flavors[pool[0]].vcpus)
+
+    def _rent_for_gang(self, need: Need, usable: list[Pool]) -> None:
+        """All at once: what fits the machines one after the other does not help it."""
+        spec = need.spec
+        rooms = [self._flavors[m.pool[0]] for m in self._machines if m.pool in usable]
+        missing = need.tasks - sum(per_machine(spec, room) for room in rooms)
         while missing > 0:
-            offer = _offer(spec, missing, float("inf"), flavors, shut)
+            offer = _offer(spec, missing, float("inf"), self._flavors, self._shut)
             if offer is None:
-                break
-            rent(offer[0], offer[1] * width)
+                return
+            self._rent(spec, offer[0], offer[1] * _width(spec))
             missing -= offer[1]
+
+    def _lay(self, need: Need, maxima: Headroom, within_s: float, usable: list[Pool]) -> None:
+        spec, left, width, lanes = need.spec, need.tasks, _width(need.spec), self._lanes
         hopeless: set[bool] = set()  # whether dear pools were asked, too, and none would do
         while left > 0:
-            may_start = maxima.start(spec, left if gang else 1, within_s)
+            may_start = maxima.start(spec, self._together(need, left), within_s)
             if may_start > within_s:
-                break  # what is left may not start in time, whatever is rented
+                return  # what is left may not start in time, whatever is rented
             if True in hopeless:
                 # Nothing can be rented for what is left, however late: it only keeps
                 # the others waiting. A huge job must not cost a step each wave.
                 left = maxima.count(spec, left, within_s)
                 maxima.take(spec, left)
                 lanes.delay(usable, left * width, need.run_s)
-                told.laid(spec.owner, left * spec.vcpus, float("inf"), need.patience_s)
-                break
+                self._report.laid(spec.owner, left * spec.vcpus, float("inf"), need.patience_s)
+                return
             # Tasks that start at the same moment are laid at once.
-            at_once = maxima.count(spec, left, may_start)
-            tasks = left if gang else max(1, min(at_once, lanes.first(usable) // width))
+            at_once = min(maxima.count(spec, left, may_start), lanes.first(usable) // width)
+            tasks = max(at_once, self._together(need, left))
             taken = lanes.take(usable, tasks * width)
             full = sum(cpus for _, _, cpus in taken) == tasks * width
             start = max(free for _, free, _ in taken) if full else float("inf")
             offer = None
             if start > max(need.patience_s, may_start) and _dear(start) not in hopeless:
-                offer = _offer(spec, left, start, flavors, shut)
+                offer = _offer(spec, left, start, self._flavors, self._shut)
                 if offer is None:
                     hopeless.add(_dear(start))  # pools only close while a plan is made
-                if offer is not None and boot_s(offer[0]) >= start:
+                if offer is not None and self._boot_s(offer[0]) >= start:
                     offer = None
             if offer is None and start < float("inf"):
                 start = max(start, may_start)
@@ -217,11 +229,40 @@
                 maxima.take(spec, tasks)
                 maxima.give(spec, tasks, start + need.run_s)
                 left -= tasks
-                told.laid(spec.owner, tasks * spec.vcpus, start, need.patience_s)
+                self._report.laid(spec.owner, tasks * spec.vcpus, start, need.patience_s)
                 continue
             for pool, free, cpus in taken:
                 lanes.add(pool, free, cpus)
             if offer is None:
-                break
-            rent(offer[0], offer[1] * width)
-    return out
+                return
+            self._rent(spec, offer[0], offer[1] * width)
+
+
+def _width(spec: JobSpec) -> int:
+    """Whole CPUs that one task takes in a plan."""
+    return max(1, math.ceil(spec.vcpus - 1e-9))
+
+
+def plan_rent(
+    needs: Iterable[Need],
+    have: Iterable[Have],
+    flavors: dict[str, Flavor],
+    blocked: Iterable[Pool],
+    boots: Boots | None = None,
+    report: PlanReport | None = None,
+    headroom: Mapping[str, Headroom] | None = None,
+) -> dict[Pool, int]:
+    """How many machines to rent from which pool.
+
+    Waiting tasks are laid on the CPUs there are, in the order in which they
+    would start; where a task would wait longer than its job's patience, and
+    longer than a new machine takes to boot, a machine is added. A team's tasks
+    count from when its maxima let them start (`headroom`, by team), as far as that
+    is in time for their patience, or for a machine that is rented now.
+    """
+    plan = RentalPlan(
+        have, flavors, blocked, boots or Boots(), report or PlanReport(), headroom or {}
+    )
+    for need in needs:
+        plan.add(need)
+    return plan.rented
