Rounds: what a team's tasks will free is worked out once, not for each of its refused jobs

Cause: the way was linear in machines times waiting jobs of a team at its maximum, in every round. Mend: sums by team, ordered by end, made once a round and anew after a stop.

--- a/src/chalkgrade/seams/gates.py
+++ b/src/chalkgrade/seams/gates.py
@@ -23,8 +23,8 @@
         """Stop less urgent work of the job's own team, one task's worth of room."""
         ...
 
-    def ending(self, owner: str, within_s: float) -> Iterable[tuple[float, ...]]:
-        """What a team's tasks that end by themselves within so long will free."""
+    def ending(self, owner: str, within_s: float) -> tuple[float, ...]:
+        """What a team's tasks that end by themselves within so long will free in all."""
         ...
 
     def machines(self) -> int:
--- a/src/chalkgrade/sharing/gates.py
+++ b/src/chalkgrade/sharing/gates.py
@@ -101,8 +101,7 @@
             return
         if spec.owner not in self._soon:
             spare = minus(self.limit(spec.owner), self.used[spec.owner])
-            for room in stops.ending(spec.owner, constants.KEPT_S):
-                spare = plus(spare, room)
+            spare = plus(spare, stops.ending(spec.owner, constants.KEPT_S))
             # Replicas end when they are called off, not when they have run for their time.
             most = minus(self.limit(spec.owner), self._lasting[spec.owner])
             self._soon[spec.owner] = tuple(map(min, spare, most))
@@ -113,8 +112,7 @@
         wanted = tuple(a * min(len(job.waiting), stops.machines()) for a in spec.room)
         over = minus(plus(self.used[spec.owner], wanted), self.limit(spec.owner))
         slack = max(constants.PREEMPT_WAIT_S, self._queues.slack(job))
-        for room in stops.ending(spec.owner, slack):
-            over = minus(over, room)
+        over = minus(over, stops.ending(spec.owner, slack))
         while (over[0] > 0 or over[1] > 0) and stops.own_room(job):
             over = minus(over, spec.room)
 
--- a/src/chalkgrade/sharing/stops.py
+++ b/src/chalkgrade/sharing/stops.py
@@ -6,8 +6,11 @@
 
 import logging
 import math
+from bisect import bisect_right
+from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
 from enum import Enum
+from itertools import accumulate
 
 from chalkgrade import constants
 from chalkgrade.logs import about
@@ -18,11 +21,25 @@
 from chalkgrade.sharing.floor import Floor
 from chalkgrade.sharing.gates import KeptRoom, Maxima
 from chalkgrade.sharing.queues import Queues
-from chalkgrade.vectors import Vector, fits, minus
+from chalkgrade.vectors import ZERO, Vector, fits, minus, plus
 
 log = logging.getLogger("chalkgrade.sharing")
 
 
+def _endings(slots: Iterable[Slot]) -> dict[str, tuple[list[float], list[Vector]]]:
+    """By team, in how many seconds its tasks end, and the room of all that end by then."""
+    rows: dict[str, list[tuple[float, Vector]]] = defaultdict(list)
+    for slot in slots:
+        for mate in slot.occupants:
+            rows[mate.owner].append((mate.left_s, mate.room))
+    out: dict[str, tuple[list[float], list[Vector]]] = {}
+    for owner, ends in rows.items():
+        ends.sort()
+        sums = list(accumulate((room for _, room in ends), plus, initial=ZERO))
+        out[owner] = [left_s for left_s, _ in ends], sums
+    return out
+
+
 class Only(Enum):
     """Whom a search for room may stop, among those whom the rules let it stop."""
 
@@ -56,17 +73,23 @@
         self.guaranteed = False  # placing what a guarantee covers
         self.only = Only.ALL
         self._offers: dict[object, Offers] = {}
+        # By team, when its tasks end by themselves, and the room of all until then.
+        self._endings: dict[str, tuple[list[float], list[Vector]]] | None = None
 
     # -- what gates may ask of it (`seams.gates.Stops`) ---------------------------------
 
     def own_room(self, job: Job) -> bool:
         return self._make_room(job, self.floor.zones, True, self.worth(job)) > 0
 
-    def ending(self, owner: str, within_s: float) -> Iterable[Vector]:
-        for slot in self.floor.every():
-            for mate in slot.occupants:
-                if mate.owner == owner and mate.left_s <= within_s:
-                    yield mate.room
+    def ending(self, owner: str, within_s: float) -> Vector:
+        """Asked for each refused job of a team at its maximum: the machines are gone through once.
+
+        Found at 4,000 machines in the region: going through them for each took 260 of 620 s.
+        """
+        if self._endings is None:
+            self._endings = _endings(self.floor.every())
+        times, sums = self._endings.get(owner, ([], [ZERO]))
+        return sums[bisect_right(times, within_s)]
 
     def machines(self) -> int:
         return len(self.floor.every())
@@ -266,5 +289,6 @@
         for victim in found:
             victim.stopping = True
             victim.left_s = 0.0
+        self._endings = None
         self.stop([machine.attempts[victim.task, victim.number] for victim in found], job)
         return tasks_in(spec, slot, found)
--- a/tests/test_team_at_its_maximum.py
+++ b/tests/test_team_at_its_maximum.py
@@ -23,6 +23,7 @@
 from chalkgrade.machines.placement import Occupant, Slot, victims
 from chalkgrade.renting.headroom import NEVER, Headroom, Lane
 from chalkgrade.renting.plan import Have, Need, plan_rent
+from chalkgrade.sharing.stops import MakingRoom
 from test_halves import _play, _sixfold
 from test_placement_rentals import FLAVORS, spec
 
@@ -146,3 +147,35 @@
     (sample,) = report.samples()
     assert sample.values["red", "rented"] == 4.0
     assert SimpleNamespace(**vars(report.of("red"))).soon > 0
+
+
+class _Floor:
+    """Counts how often its machines are gone through."""
+
+    def __init__(self, occupants: list[Occupant]) -> None:
+        self.slots = [_slot(occupant) for occupant in occupants]
+        self.asked = 0
+
+    def every(self) -> list[Slot]:
+        self.asked += 1
+        return self.slots
+
+
+def test_what_a_teams_tasks_will_free_is_worked_out_once_for_all_refused_jobs() -> None:
+    """At 4,000 machines going through all of them for each refused job took 4 of 10 seconds."""
+    rng = random.Random(2)
+    rooms = [(float(rng.randrange(1, 4)), 0.0, 2.0) for _ in range(50)]
+    occupants = [
+        Occupant(f"a/{n}", 1, rng.choice(["red", "blue"]), 1, room, rng.uniform(0.0, 60.0), 0.5)
+        for n, room in enumerate(rooms)
+    ]
+    floor: Any = _Floor(occupants)
+    maxima: Any = SimpleNamespace(teams={})
+    nothing: Any = None
+    making = MakingRoom(floor, nothing, nothing, maxima, nothing, [], True)
+    for within_s in [0.0, *(rng.uniform(0.0, 70.0) for _ in range(100))]:
+        for owner in ("red", "blue", "green"):
+            ends = [o.room for o in occupants if o.owner == owner and o.left_s <= within_s]
+            plain = tuple(sum(room[part] for room in ends) for part in range(3))
+            assert making.ending(owner, within_s) == pytest.approx(plain)
+    assert floor.asked == 1
