--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -11,7 +11,7 @@
 from chalkgrade.machines.fleet import Fleet
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
-from chalkgrade.renting.renter import Renter
+from chalkgrade.renting.needs import WaitingWork
 from chalkgrade.state.leadership import LEADER_KEY
 from test_gap import _long
 from test_meetings import _gone_when_silent, _live_is_done
@@ -306,7 +306,7 @@
 ) -> None:
     """The cheap room is in the other zone, where it may not go; its own has dear room."""
     if bug:
-        monkeypatch.setattr(Renter, "_bound", lambda self, job: job.spec)
+        monkeypatch.setattr(WaitingWork, "_bound", lambda self, job: job.spec)
 
     async def story(world: World) -> None:
         spec = _long(1, 8) | {"oneZone": True, "expectedS": 300.0, "shape": shape}
