--- a/src/chalkgrade/experiments/growth.py
+++ b/src/chalkgrade/experiments/growth.py
@@ -7,7 +7,7 @@
 from chalkgrade.region.fleet import play_day
 
 CONTROLLERS = (3, 5, 10, 20, 50)  # with 100 machines
-MACHINES = (100, 300, 600, 1000, 2000)  # with 5 controllers
+MACHINES = (100, 300, 600, 1000, 2000, 4000)  # with 5 controllers
 DAY_S = 40.0
 
 
