Known red: an entry has one name; the test of GPU maxima copies machine types in one line

Found by reading the whole change once more: which of test and command names an entry was worked out in three places. No behaviour changes; same assertions.

--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -39,6 +39,11 @@
         """Whether pytest knows it, so that the run of all others passes over it."""
         return self.test != NO_TEST
 
+    @property
+    def name(self) -> str:
+        """What it is called: the test, or the command of a run that is none."""
+        return self.test if self.is_test else self.command
+
 
 def parse(text: str) -> list[Entry]:
     """The entries of a list; ListError names the line."""
@@ -56,11 +61,8 @@
     entry = Entry(*fields)
     if not entry.issue.removeprefix("#").isdecimal():
         raise ListError(f"{where}: {entry.issue!r} is no issue's number")
-    name = (entry.test, "" if entry.is_test else entry.command)
-    if any(name == (other.test, "" if other.is_test else other.command) for other in before):
-        raise ListError(
-            f"{where}: {entry.test if entry.is_test else entry.command} is listed twice"
-        )
+    if any(entry.name == other.name for other in before):
+        raise ListError(f"{where}: {entry.name} is listed twice")
     return entry
 
 
@@ -115,9 +117,8 @@
         return 2
     code = _run_others(entries, options)
     for entry in entries:
-        name = entry.test if entry.is_test else entry.command
         print(
-            f"known red: {name}: {_verdict(entry)}"
+            f"known red: {entry.name}: {_verdict(entry)}"
             f" (issue {entry.issue}: {entry.seen}; {entry.command})"
         )
     return code
--- a/tests/test_team_at_its_maximum.py
+++ b/tests/test_team_at_its_maximum.py
@@ -18,11 +18,12 @@
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
-from chalkgrade.machines.kinds import Flavor
 from chalkgrade.machines.placement import Occupant, Slot, victims
 from chalkgrade.renting.headroom import NEVER, Headroom, Lane
 from chalkgrade.renting.plan import Have, Need, plan_rent
+from chalkgrade.renting.report import PlanReport
 from chalkgrade.sharing.stops import MakingRoom
 from test_halves import _play, _sixfold
 from test_placement_rentals import FLAVORS, spec
@@ -66,12 +67,7 @@
 def test_a_maximum_for_gpus_bounds_as_one_for_cpus() -> None:
     have, ends = _busy(120)
     needs = _needs(gpus=1.0)
-    flavors = {
-        name: Flavor(**{field: getattr(flavor, field) for field in Flavor.__struct_fields__})
-        for name, flavor in FLAVORS.items()
-    }
-    for flavor in flavors.values():
-        flavor.gpus = flavor.vcpus
+    flavors = {name: replace(flavor, gpus=flavor.vcpus) for name, flavor in FLAVORS.items()}
     room = {"red": Headroom(Lane(1000.0, ends), Lane(128.0, ends))}
     assert sum(plan_rent(needs, have, flavors, [], headroom=room).values()) == 2
 
@@ -138,15 +134,13 @@
 
 def test_a_plan_says_what_it_did_for_a_team() -> None:
     """The line by which the fault was found."""
-    from chalkgrade.renting.report import PlanReport
-
     report, (have, ends) = PlanReport(), _busy(8)
     room = {"red": Headroom(Lane(12.0, ends))}
     plan_rent(_needs(), have, FLAVORS, [], None, report, room)
     assert "rented 4" in report.line()
     (sample,) = report.samples()
     assert sample.values["red", "rented"] == 4.0
-    assert SimpleNamespace(**vars(report.of("red"))).soon > 0
+    assert report.of("red").soon > 0
 
 
 class _Floor:
