Nothing is placed on a machine that its worker can't report; orders keep to one line

All tasks were started again and again and killed each time when the worker's lease ended.

Cause: the protocol limits a request body and a line of a response to 64 KiB. The limit was checked where a body is read and nowhere else. Placement counted CPUs, GPUs and memory, so that 1,404 tasks were launched in a line of 73,114 bytes; the next report, which lists them all, had 76,057 bytes and was refused with 400 by each controller, so that nothing renewed the lease.

Change: the bytes of a report are a fourth amount that a machine has and a task takes (machines/message_size.py): placement, reservations, gangs, preemption, moves, the check of a submission and the rental plan know it. An entry counts with the most it can take, an ended task until it is forgotten, and what a report has beyond the expected counts too. Orders (now machines/orders.py) are cut at the longest line, kills first; the rest follows with the next report. What can't be reported isn't launched and is placed elsewhere, as after an upgrade. A report up to four times the limit is answered, logged and counted; sizes are in the metrics.

Two tests change with the signature of Fleet.accept_report, and one stub of a job gets the fields that a placement reads; they check what they checked before.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -351,6 +351,12 @@
 PEER_REQUEST_TIMEOUT_S: Final = 1.0  # for an answer over a peer link
 MAX_PEER_STATUS_AGE_S: Final = 3.5  # how long a peer's last status is used
 MAX_BODY_BYTES: Final = 64 * 1024  # limit of the protocol
+MAX_RESPONSE_LINE_BYTES: Final = 64 * 1024  # limit of the protocol, to workers and users
+# Of a worker's report. Longer than the limit of the protocol, so that a machine on which another
+# version placed too many tasks keeps its lease while they end.
+MAX_REPORT_BODY_BYTES: Final = 4 * MAX_BODY_BYTES
+REPORT_HEADER_BYTES: Final = 1024  # a report without its tasks
+ORDERS_HEADER_BYTES: Final = 64  # a response to a worker without its orders
 INTAKE_DEADLINE_S: Final = 4.0  # users give up at 5 s
 STATUS_QUERY_DEADLINE_S: Final = 1.6  # users wait 2 s for a poll
 # Requests for lookups in flight at once: one lost answer must not delay all others.
--- a/src/chalkgrade/leading/reports.py
+++ b/src/chalkgrade/leading/reports.py
@@ -1,15 +1,20 @@
 """Handles workers' reports: updates the record's view of attempts and returns orders."""
 
+import logging
 from collections.abc import Callable
 from typing import Any
 
 from chalkgrade import constants
 from chalkgrade.leading import images
 from chalkgrade.leading.scheduling import RoundScheduler
-from chalkgrade.machines.fleet import Machine, Report, orders
+from chalkgrade.logs import decision_fields
+from chalkgrade.machines.fleet import Machine, Report
+from chalkgrade.machines.orders import orders
 from chalkgrade.record.jobs import Attempt
 from chalkgrade.sharing.term_context import TermContext
 
+log = logging.getLogger("chalkgrade.reports")
+
 AttemptEndedCallback = Callable[[Machine | None, Attempt, str], None]
 
 
@@ -37,9 +42,9 @@
         self.on_attempt_ended = on_attempt_ended
 
     async def handle_report(
-        self, report: Report, relayed: bool = False
+        self, report: Report, size: int = 0, relayed: bool = False
     ) -> tuple[int, dict[str, Any]]:
-        """Answers one report with an HTTP status and a body.
+        """Answers one report of `size` bytes with an HTTP status and a body.
 
         Status 421 means that this controller may not answer now, as it does not lead or its
         lease is no longer proven. A report relayed by another controller is held for a
@@ -51,7 +56,7 @@
         received_at = self.clock.now()
         known = self.fleet.machines.get(report.host)
         first = known is None or known.reported_at is None
-        machine = self.fleet.accept_report(report)
+        machine = self.fleet.accept_report(report, size)
         answer: dict[str, Any] = {"baton": self.context.token, "orders": []}
         if machine is None:
             return 200, answer
@@ -169,5 +174,24 @@
                 and spec.savepointS > 0
             ):
                 attempt.kill_requested_at = now  # save before the machine is withdrawn
+        self._withdraw_unreportable(machine)
         if machine.attempts:
             machine.busy_at = now
+
+    def _withdraw_unreportable(self, machine: Machine) -> None:
+        """Ends attempts that the worker could not report, so that their tasks start elsewhere.
+
+        Placement leaves room in the reports. It lacks where a report lists more than was known:
+        tasks placed by another version of this program, or fields that were added to the entries.
+        """
+        _, excess = machine.unlisted_attempts()
+        withdrawn = [a for a in excess if self.fleet.is_surely_absent(machine, a)]
+        for attempt in withdrawn:
+            self.on_attempt_ended(machine, attempt, "")
+        if withdrawn:
+            log.warning(
+                "attempts withdrawn: %d on %s, whose reports have no room for them",
+                len(withdrawn),
+                machine.name,
+                extra=decision_fields(self.context.token, machine=machine.name),
+            )
--- a/src/chalkgrade/leading/scheduling.py
+++ b/src/chalkgrade/leading/scheduling.py
@@ -151,7 +151,8 @@
         flavor = self.flavors.get(machine.hosttype)
         if flavor is None or not self.fleet.usable(machine):
             return False
-        return machine.used[0] + self.min_waiting_cpus <= flavor.vcpus + 1e-9
+        has_cpus = machine.used[0] + self.min_waiting_cpus <= flavor.vcpus + 1e-9
+        return has_cpus and machine.has_report_room()
 
     # -- status for operators -----------------------------------------------------------
 
--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -285,10 +285,10 @@
     # -- workers' reports and the ends of attempts ----------------------------------
 
     async def handle_report(
-        self, report: Report, relayed: bool = False
+        self, report: Report, size: int = 0, relayed: bool = False
     ) -> tuple[int, dict[str, Any]]:
         """Answers one report; see `ReportHandler.handle_report`."""
-        return await self.reports.handle_report(report, relayed)
+        return await self.reports.handle_report(report, size, relayed)
 
     def _on_job(self, job: Job, fresh: bool) -> None:
         for component in self.components:
--- a/src/chalkgrade/machines/flavors.py
+++ b/src/chalkgrade/machines/flavors.py
@@ -2,8 +2,10 @@
 
 import msgspec
 
+from chalkgrade.machines.message_size import machine_capacity, machine_demand
 from chalkgrade.record.changes import PersistedValue
-from chalkgrade.record.jobs import JobSpec
+from chalkgrade.record.jobs import TASKS_MAX, JobSpec
+from chalkgrade.vectors import count_fitting
 
 Pool = tuple[str, str, bool]  # machine type, zone, whether spot
 SPOT_OPTIONS = (True, False)  # spot, on demand
@@ -34,12 +36,7 @@
 
 def tasks_per_machine(spec: JobSpec, flavor: Flavor) -> int:
     """Returns how many tasks of a job fit on an empty machine of the type."""
-    counts = [
-        int((has + 1e-9) // needs)
-        for needs, has in zip(spec.resources, flavor.resources, strict=True)
-        if needs > 0
-    ]
-    return min(counts, default=64)
+    return count_fitting(machine_demand(spec), machine_capacity(flavor.resources), TASKS_MAX)
 
 
 FLAVORS_KEY = "cg/flavors"
--- a/src/chalkgrade/machines/fleet.py
+++ b/src/chalkgrade/machines/fleet.py
@@ -13,17 +13,21 @@
 """
 
 import logging
-from collections.abc import Iterable
-from typing import Any
 
 import msgspec
 
 from chalkgrade import constants
 from chalkgrade.bounded_dict import BoundedDict
+from chalkgrade.machines.message_size import (
+    NO_DEMAND,
+    REPORT_CAPACITY_BYTES,
+    machine_demand,
+    report_entry_bytes,
+)
 from chalkgrade.machines.response_tracking import ResponseTracker
 from chalkgrade.outside import Clock, Signal
 from chalkgrade.record.jobs import Attempt, Job
-from chalkgrade.vectors import ZERO, Vector, minus, plus
+from chalkgrade.vectors import Vector, minus, plus
 
 log = logging.getLogger("chalkgrade.fleet")
 
@@ -81,7 +85,10 @@
         self.response_tracker = ResponseTracker()  # whether it receives responses
         self.tasks: dict[tuple[str, int], TaskReport] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
-        self.used: Vector = ZERO  # by the attempts on record
+        self.used: Vector = NO_DEMAND  # by the attempts on record, see `machine_demand`
+        # Bytes of its newest report: at most what the listed tasks may take, and what of it is
+        # beyond the entries' expected sizes.
+        self.listed_bytes = self.unexpected_bytes = 0
         self.work_assigned = Signal()  # fires when an attempt is placed here
         self.open_reports = 0  # reports held; launches can go out with their responses
         self.has_termination_notice = False
@@ -101,14 +108,14 @@
         """Adds an attempt of the record, which may be present here from now on."""
         self.attempts[attempt.name, attempt.number] = attempt
         self.work_assigned.fire()
-        self.used = plus(self.used, attempt.job.spec.resources)
+        self.used = plus(self.used, machine_demand(attempt.job.spec))
 
     def detach(self, attempt: Attempt) -> None:
         """Removes an attempt that is proven absent."""
         if self.attempts.pop((attempt.name, attempt.number), None) is not None:
             # Reset to exactly zero when empty, since sums of fractions accumulate rounding errors.
-            left = minus(self.used, attempt.job.spec.resources)
-            self.used = left if self.attempts else ZERO
+            left = minus(self.used, machine_demand(attempt.job.spec))
+            self.used = left if self.attempts else NO_DEMAND
 
     @property
     def failures(self) -> int:
@@ -130,6 +137,43 @@
             for job, count in self.failures_by_job.items()
         )
 
+    def note_report(self, report: Report, size: int) -> None:
+        """Takes over the tasks that a report of `size` bytes lists."""
+        self.tasks = {(entry.task, entry.number): entry for entry in report.tasks}
+        entries = sum(report_entry_bytes(entry.task) for entry in report.tasks)
+        # Workers may add fields that are not known here, so that entries can be longer.
+        self.unexpected_bytes = max(0, size - constants.REPORT_HEADER_BYTES - entries)
+        self.listed_bytes = entries + self.unexpected_bytes
+
+    def used_with_unrecorded(self) -> Vector:
+        """Returns what the attempts on record use, and all entries of the worker's report.
+
+        Tasks that ended stay in the reports until the worker was told to forget them.
+        """
+        unrecorded = self.tasks.keys() - self.attempts.keys()
+        entries = sum(report_entry_bytes(task) for task, _ in unrecorded)
+        return (*self.used[:3], self.used[3] + entries + self.unexpected_bytes)
+
+    def has_report_room(self) -> bool:
+        """Returns whether the worker's reports may have room for another task."""
+        return self.used_with_unrecorded()[3] + report_entry_bytes("") <= REPORT_CAPACITY_BYTES
+
+    def unlisted_attempts(self) -> tuple[list[Attempt], list[Attempt]]:
+        """Divides the attempts that the newest report doesn't list by whether the next one can.
+
+        Those of the first list fit into a report besides the tasks that are listed now. Those of
+        the second don't, and must not be launched.
+        """
+        fitting: list[Attempt] = []
+        excess: list[Attempt] = []
+        bytes_left = REPORT_CAPACITY_BYTES - self.listed_bytes
+        for key, attempt in self.attempts.items():
+            if key in self.tasks:
+                continue
+            bytes_left -= report_entry_bytes(attempt.name)
+            (fitting if bytes_left >= 0 else excess).append(attempt)
+        return fitting, excess
+
     def unknown_tasks(self) -> list[TaskReport]:
         """Returns reported tasks that have not ended and are not on record for this machine."""
         if self.tasks.keys() <= self.attempts.keys():
@@ -171,8 +215,8 @@
         machine = self.get_or_add(attempt.machine, "", "", False)
         machine.attach(attempt)
 
-    def accept_report(self, report: Report) -> Machine | None:
-        """Accepts a report; None if it is older than the last one or the machine is gone."""
+    def accept_report(self, report: Report, size: int = 0) -> Machine | None:
+        """Accepts a report of `size` bytes; None if it is outdated or the machine is gone."""
         if report.host in self.gone:
             return None
         machine = self.get_or_add(report.host, report.hosttype, report.site, report.standby)
@@ -189,7 +233,7 @@
         machine.has_termination_notice = (
             machine.has_termination_notice or report.warningS is not None
         )
-        machine.tasks = {(entry.task, entry.number): entry for entry in report.tasks}
+        machine.note_report(report, size)
         return machine
 
     def has_seen_token(self, machine: Machine) -> bool:
@@ -299,41 +343,3 @@
         lost = list(machine.attempts.values())
         machine.attempts.clear()  # a response being prepared must launch nothing
         return lost
-
-
-def orders(
-    machine: Machine, forgettable: Iterable[tuple[str, int]], clock: Clock, launches: bool
-) -> list[dict[str, Any]]:
-    """Returns the orders that bring a machine from its last report to the record.
-
-    `forgettable`: ended tasks that the worker may forget; `launches`: whether to launch tasks.
-    """
-    out: list[dict[str, Any]] = []
-    forget = set(forgettable)
-    for (task, number), entry in machine.tasks.items():
-        attempt = machine.attempts.get((task, number))
-        if entry.status == "ended":
-            if (task, number) in forget:
-                out.append({"order": "forget", "task": task, "try": number})
-        elif attempt is None:
-            # Not on record here: launched by a late order, or of a job that is over.
-            out.append({"order": "kill", "task": task, "try": number, "graceS": 0})
-        elif attempt.kill_requested_at is not None:
-            spec = attempt.job.spec
-            saves = spec.savepointS > 0 and not attempt.job.cancelled
-            late = clock.now() - attempt.kill_requested_at > constants.KILL_GRACE_S + spec.flushS
-            if entry.status == "saving" and saves and not late:
-                continue
-            grace = constants.KILL_GRACE_S + spec.flushS if saves and not late else 0
-            attempt.kill_sent = True
-            out.append({"order": "kill", "task": task, "try": number, "graceS": grace})
-    if launches:
-        for (task, number), attempt in machine.attempts.items():
-            if (task, number) in machine.tasks or attempt.kill_requested_at is not None:
-                continue
-            if attempt.job.cancelled or not attempt.is_durable:
-                continue
-            attempt.launch_report = (machine.tenure, machine.seq)
-            machine.response_tracker.launch_orders_sent.add((task, number))
-            out.append({"order": "launch", "task": task, "try": number})
-    return out
--- a/src/chalkgrade/machines/placement.py
+++ b/src/chalkgrade/machines/placement.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass, field
 
 from chalkgrade import constants
-from chalkgrade.record.jobs import JobSpec
-from chalkgrade.vectors import Vector, fits, minus, plus
+from chalkgrade.machines.message_size import NO_DEMAND, machine_demand
+from chalkgrade.record.jobs import TASKS_MAX, JobSpec
+from chalkgrade.vectors import Vector, count_fitting, fits, minus, plus
 
 
 @dataclass
@@ -23,7 +24,7 @@
     number: int
     owner: str
     rank: int
-    resources: Vector
+    resources: Vector  # what it takes of its machine, see `machine_demand`
     remaining_s: float  # s until it ends, or until it is saved if it is stopping
     loss_cpu_s: float  # work lost by stopping it now, CPU-seconds
     stopping: bool = False
@@ -33,7 +34,10 @@
 
 @dataclass
 class Slot:
-    """One machine with its free resources (CPUs, GPUs, memory in GB) during a round."""
+    """One machine during a round, with what is free there.
+
+    Amounts are CPUs, GPUs, memory in GB and bytes of the worker's report, as in `machine_demand`.
+    """
 
     name: str
     hosttype: str
@@ -48,7 +52,7 @@
     launch_delay_s: float = 0.0  # s until a launch can be sent
     load_occupants: Callable[[], list[Occupant]] = list  # called only when room has to be made
     reserved_for: str = ""  # job that `reserved` is for; the rest is free for all
-    reserved: Vector = (0.0, 0.0, 0.0)
+    reserved: Vector = NO_DEMAND
     was_placed_on: bool = False  # in this round
     loaded_occupants: list[Occupant] | None = None
 
@@ -126,10 +130,11 @@
     best: Slot | None = None
     best_key: tuple[float, ...] = ()
     excluded = set(avoid)
+    demand = machine_demand(spec)
     for slot in slots:
         if slot.site not in zones or slot.name in excluded:
             continue
-        if not fits(spec.resources, slot.free) or not allows_slot(slot):
+        if not fits(demand, slot.free) or not allows_slot(slot):
             continue
         if is_fetch_congested(spec, slot):
             continue
@@ -157,6 +162,7 @@
         local: bool = False,
     ) -> None:
         self._spec, self._local = spec, local
+        self._demand = machine_demand(spec)
         excluded = set(avoid)
         self._heap: list[tuple[tuple[float, ...], int, Slot]] = []
         # Slots are of few kinds, so permission is computed once per kind.
@@ -173,7 +179,7 @@
 
     def _open(self, slot: Slot) -> bool:
         spec = self._spec
-        if not fits(spec.resources, slot.free) or is_fetch_congested(spec, slot):
+        if not fits(self._demand, slot.free) or is_fetch_congested(spec, slot):
             return False
         return not (self._local and spec.pullGb and not slot.has_or_fetches(spec.bundle))
 
@@ -249,7 +255,7 @@
 
 def occupy_slot(slot: Slot, spec: JobSpec) -> None:
     """Takes the resources of one task from a slot and notes the fetch of its image."""
-    slot.free = minus(slot.free, spec.resources)
+    slot.free = minus(slot.free, machine_demand(spec))
     slot.was_placed_on = True
     if spec.bundle not in slot.images:
         slot.fetching.add(spec.bundle)
@@ -257,12 +263,12 @@
 
 def room_wait_s(spec: JobSpec, slot: Slot) -> float:
     """Returns the seconds until one task fits on the slot if nothing else is placed there."""
-    free = slot.free
-    if fits(spec.resources, free):
+    free, demand = slot.free, machine_demand(spec)
+    if fits(demand, free):
         return 0.0
     for occupant in sorted(slot.occupants, key=lambda o: o.remaining_s):
         free = plus(free, occupant.resources)
-        if fits(spec.resources, free):
+        if fits(demand, free):
             return occupant.remaining_s
     return float("inf")
 
@@ -336,12 +342,7 @@
     free = slot.free
     for occupant in stopped:
         free = plus(free, occupant.resources)
-    fit = (
-        int((has + 1e-9) // need)
-        for has, need in zip(free, spec.resources, strict=True)
-        if need > 0
-    )
-    return max(1, min(fit, default=1))
+    return max(1, count_fitting(machine_demand(spec), free, TASKS_MAX))
 
 
 def _loss(found: list[Occupant]) -> float:
@@ -365,13 +366,14 @@
     stopped for urgency, as they would be started again at once. `borrowed_only` leaves out tasks
     of a lower priority; `savers_only` leaves out tasks that can't save a checkpoint.
     """
-    free: Vector = (0.0, 0.0, max(0.0, slot.free[2])) if own else slot.free
+    free: Vector = (0.0, 0.0, *(max(0.0, a) for a in slot.free[2:])) if own else slot.free
+    demand = machine_demand(spec)
     for occupant in slot.occupants:
         if occupant.stopping:
             free = plus(free, occupant.resources)
     out: list[Occupant] = []
     for occupant in sorted(slot.occupants, key=lambda o: (o.rank, o.loss_cpu_s)):
-        if fits(spec.resources, free):
+        if fits(demand, free):
             break
         if own and occupant.owner != spec.owner:
             continue
@@ -387,4 +389,4 @@
         if borrowed or (lower and not borrowed_only):
             free = plus(free, occupant.resources)
             out.append(occupant)
-    return out if fits(spec.resources, free) else None
+    return out if fits(demand, free) else None
--- a/src/chalkgrade/moves/part.py
+++ b/src/chalkgrade/moves/part.py
@@ -19,6 +19,7 @@
 from chalkgrade.logs import decision_fields
 from chalkgrade.machines.flavors import SPOT_OPTIONS, Pool, tasks_per_machine
 from chalkgrade.machines.fleet import Machine
+from chalkgrade.machines.message_size import machine_demand
 from chalkgrade.machines.placement import Slot, may_use_machine, room_wait_s
 from chalkgrade.moves.planner import MachineState, MovableTask, PlacementProblem, Plan, find_plans
 from chalkgrade.moves.settings import MoveSettings
@@ -84,10 +85,10 @@
             job = registered.get(plan.job)
             if job is not None:
                 self.reserved_resources.setdefault(plan.host, []).append(
-                    (job.name, job.spec.resources)
+                    (job.name, machine_demand(job.spec))
                 )
         for move in self._part.pending_moves():
-            room = registered[move.job].spec.resources
+            room = machine_demand(registered[move.job].spec)
             self.reserved_resources.setdefault(move.target, []).append((move.job, room))
 
     def unreserved_resources(self, job: Job, slot: Slot) -> Vector:
@@ -101,7 +102,7 @@
     def allows_slot(self, job: Job, slot: Slot) -> bool:
         """Allows a slot if the job fits besides what is reserved there for others."""
         return slot.name not in self.reserved_resources or fits(
-            job.spec.resources, self.unreserved_resources(job, slot)
+            machine_demand(job.spec), self.unreserved_resources(job, slot)
         )
 
     def priority_starts(self) -> Iterable[tuple[Job, int, str]]:
@@ -314,9 +315,9 @@
 
     def _plan_for_job(self, job: Job, slots: list[Slot], jobs: list[Job]) -> None:
         """Searches a plan for one task, or for all of a gang, and adopts it if it pays off."""
-        spec = job.spec
+        spec, demand = job.spec, machine_demand(job.spec)
         suitable = [s for s in slots if self._can_host(job, s)]
-        if not suitable or any(fits(spec.resources, slot.free) for slot in suitable):
+        if not suitable or any(fits(demand, slot.free) for slot in suitable):
             return
         count = len(job.waiting) if spec.shape == "gang" else 1
         teams = self.term_context.context.settings.cluster.teams
@@ -327,7 +328,7 @@
         # Room is preserved only for work of at least the same urgency.
         competitors = (j.spec for j in jobs if j.spec.urgency_rank >= spec.urgency_rank)
         other_resources = {
-            competitor.resources
+            machine_demand(competitor)
             for competitor in competitors
             if competitor.resources != spec.resources
         }
@@ -339,7 +340,7 @@
         names = {slot.name for slot in hosts}
         places = tuple(self._machine_state(job, slot, slot.name in names) for slot in slots)
         plans = self.planner(
-            PlacementProblem(spec.resources, pools, places, tuple(sorted(other_resources))), count
+            PlacementProblem(demand, pools, places, tuple(sorted(other_resources))), count
         )
         if not plans:
             return
@@ -358,7 +359,7 @@
     def _can_host(self, job: Job, slot: Slot) -> bool:
         spec = job.spec
         pool = (slot.hosttype, slot.site, slot.standby)
-        return may_use_machine(spec, *pool) and fits(spec.resources, slot.total)
+        return may_use_machine(spec, *pool) and fits(machine_demand(spec), slot.total)
 
     def _rental_wait_s(self, job: Job) -> float:
         """Returns the time until a machine that boots could run the job; infinite without one.
@@ -447,7 +448,13 @@
         loss = (spec.flushS + self.fleet.report_s) * spec.vcpus
         name = attempt.name
         return MovableTask(
-            name, attempt.number, spec.resources, loss, spec.bundle, spec.pullGb, frozenset(pools)
+            name,
+            attempt.number,
+            machine_demand(spec),
+            loss,
+            spec.bundle,
+            spec.pullGb,
+            frozenset(pools),
         )
 
     def _adopt(self, job: Job, plan: Plan, duration_s: float, wait_s: float) -> None:
--- a/src/chalkgrade/moves/planner.py
+++ b/src/chalkgrade/moves/planner.py
@@ -211,7 +211,7 @@
     Hosts are searched in the order of their lower bounds, so that most need no search.
     """
     hosts: list[tuple[float, str, MachineState]] = []
-    total_free: Vector = (0.0, 0.0, 0.0)
+    total_free: Vector = tuple(0.0 for _ in problem.room)
     for machine in problem.places:
         total_free = plus(total_free, machine.free)
     if not fits(problem.room, total_free):
--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -80,7 +80,9 @@
     @property
     def machine_constraints(self) -> tuple[object, ...]:
         """The fields that decide which machines suit its tasks; equal for equivalent jobs."""
-        return self.resources, tuple(self.hosttypes or ()), self.site, self.standby
+        hosttypes = tuple(self.hosttypes or ())
+        # The length of the id counts, since workers name the task in their reports.
+        return self.resources, len(self.nameId), hosttypes, self.site, self.standby
 
 
 def parse_submission(body: bytes, value_b: int) -> JobSpec:
--- a/src/chalkgrade/region/rules.py
+++ b/src/chalkgrade/region/rules.py
@@ -12,6 +12,7 @@
 MAX_SILENCE_S = 75.0  # without an answer about a job, faults over, it counts as forgotten
 LARGEST_JOBS_SHARE = 0.1  # share of a class's jobs, by requested CPUs
 MAX_LARGEST_START_DELAY_S = 240.0  # within which each of them must start
+MAX_BODY_BYTES = MAX_LINE_BYTES = 64 * 1024  # limits of the protocol
 MIN_SERVED_SHARE = 0.5  # of a class's or team's jobs; a day with less has failed
 START_TIME_S = 1000.0  # the virtual clock at the start of a run
 CPU_TOLERANCE = 1e-6  # sums of fractional CPUs have rounding errors
@@ -56,6 +57,7 @@
         self.unrequested_stops: list[float] = []  # times when tasks of unaborted jobs were killed
         self.failures: dict[str, int] = {}  # job -> its failed attempts
         self.starts_after_cancel = 0  # starts after a user was told of the cancellation
+        self.longest_line = 0  # bytes of the longest response to a worker or user
         self.lease_ends = 0  # tasks killed when a machine's lease expired
         self.licensed_tool: Any = None  # the LicensedTool, where a run has one
         self.starts: list[tuple[float, int]] = []  # start time and leader token
@@ -104,6 +106,17 @@
 
     # -- rules ----------------------------------------------------------------------
 
+    def check_report_size(self, source: str, path: str, body: bytes) -> None:
+        """Check that a worker doesn't hold more tasks than its report may list."""
+        if path == "/hello" and len(body) > MAX_BODY_BYTES:
+            raise Broken(f"report_size: {source} reports {len(body)} bytes")
+
+    def check_response_line(self, target: str, line: bytes) -> None:
+        """Check the length of a response to a worker or user, which is one line."""
+        self.longest_line = max(self.longest_line, len(line))
+        if len(line) > MAX_LINE_BYTES:
+            raise Broken(f"response_line: {len(line)} bytes to {target}")
+
     def check_start(self, worker: Host, task: StartedTask) -> None:
         """Check all rules that apply when a task starts."""
         spec, name = task.spec, task.name
--- a/src/chalkgrade/region/world.py
+++ b/src/chalkgrade/region/world.py
@@ -173,8 +173,11 @@
                 answer = 200, msgspec.json.decode(msgspec.json.encode(reply))
             else:
                 raw = body if isinstance(body, bytes) else msgspec.json.encode(body)
+                self.check_report_size(source, path, raw)
                 status, data = await self.run_as(member, node.handle(method, path, raw))
-                answer = status, msgspec.json.decode(msgspec.json.encode(data))
+                line = msgspec.json.encode(data)
+                self.check_response_line(source, line)
+                answer = status, msgspec.json.decode(line)
             return answer if self.epochs[member] == epoch else None
 
         return serve
--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -446,6 +446,8 @@
                 ends[attempt] = NEVER if service else self.queues.remaining_run_s(attempt, now)
                 busy.append((ends[attempt], cpus))
             free = max(0, int(flavor.vcpus) - sum(cpus for _, cpus in busy))
+            if not machine.has_report_room():
+                free = 0  # it could not report another task, whatever CPUs are left
             ending = [(at, cpus) for at, cpus in busy if at < NEVER]
             out.append(MachineCapacity(pool, [*ending, (boot, free)]))
         return out, ends
--- a/src/chalkgrade/serving/node.py
+++ b/src/chalkgrade/serving/node.py
@@ -19,12 +19,13 @@
 from chalkgrade.membership.prober import Prober
 from chalkgrade.membership.registration import Registration
 from chalkgrade.membership.views import ALIVE, STATES, Views
-from chalkgrade.outside import Clock, Http, NoAnswer, Peers
+from chalkgrade.outside import Clock, Http, NoAnswer, Peers, encode
 from chalkgrade.record.jobs import SubmissionError, parse_submission
 from chalkgrade.renting.cloud import CloudClient
 from chalkgrade.serving.cancellation_poll import CancellationPoll
 from chalkgrade.serving.handover import Handover
 from chalkgrade.serving.job_api import JobApi
+from chalkgrade.serving.message_sizes import MessageSizes
 from chalkgrade.serving.record_reader import RETRY_LATER, Answer
 from chalkgrade.serving.report_router import ReportRouter
 from chalkgrade.settings import Settings
@@ -51,6 +52,7 @@
         self.settings = settings
         self.clock = clock
         self.started_at = clock.now()
+        self.message_sizes = MessageSizes(clock)
         self.outage_seen_at = -1e9  # when users were last accepted during an outage for all
         self.peers = peers
         self.http = http
@@ -213,6 +215,7 @@
         yield labelled_sample(
             "cloud_responses", "Cloud answers", "status", self.cloud.response_counts
         )
+        yield from self.message_sizes.samples()
         if self.term is not None:
             yield from self.term.samples()
 
@@ -382,7 +385,9 @@
                 status, body = 421, {}
                 if self.term is not None and self.term.ready:
                     report = msgspec.convert(arg, Report)
-                    status, body = await self.term.handle_report(report, relayed=True)
+                    status, body = await self.term.handle_report(
+                        report, len(encode(arg)), relayed=True
+                    )
         except (msgspec.ValidationError, SubmissionError) as error:
             status, body = 400, {"error": str(error)}
         except (NoAnswer, NotExecuted):
@@ -412,6 +417,8 @@
 
     async def handle(self, method: str, path: str, body: bytes) -> Answer:
         """Answer an HTTP request of a user, a worker or the load balancer."""
+        if not self.message_sizes.accepts(path, len(body)):
+            return 400, {"error": "body too long"}
         if path == "/hello" and method == "POST":
             return await self._handle_worker_report(body)
         if path == "/up" and method == "GET":
--- a/src/chalkgrade/serving/report_router.py
+++ b/src/chalkgrade/serving/report_router.py
@@ -62,7 +62,7 @@
         if term is not None:
             # A report that carries a newer leader's token ends this node's lead.
             if self._serves_worker(report) and term.ready:
-                status, answer = await term.handle_report(report)
+                status, answer = await term.handle_report(report, len(body))
                 if status == 200:
                     return status, answer
             else:
--- a/src/chalkgrade/serving/server.py
+++ b/src/chalkgrade/serving/server.py
@@ -113,7 +113,7 @@
         try:
             body = await request.read() if request.body_exists else b""
         except web.HTTPRequestEntityTooLarge:
-            return self._respond(path, 400, {"error": "body over 64 KiB"}, close=True)
+            return self._respond(path, 400, {"error": "body too long"}, close=True)
         except (web.RequestPayloadError, ConnectionError):
             # Closed by the client or by the guard: nobody reads the answer. A traceback for
             # each would fill the log: up to 67 per second under a flood of such requests.
@@ -123,8 +123,6 @@
             connection, _request_kind(request.method, path)
         ):
             return self._respond(path, 503, {"error": "too many requests at once"}, close=True)
-        if len(body) > constants.MAX_BODY_BYTES:
-            return self._respond(path, 400, {"error": "body over 64 KiB"})
         try:
             status, answer = await self._node.handle(request.method, path, body)
         except Exception:
@@ -148,8 +146,10 @@
             headers["Connection"] = "close"
         counts = self._node.responses_by_status
         counts[str(status)] = counts.get(str(status), 0) + 1
+        body = encode(answer)
+        self._node.message_sizes.note_response(path, len(body))
         response = web.Response(
-            status=status, body=encode(answer), content_type="application/json", headers=headers
+            status=status, body=body, content_type="application/json", headers=headers
         )
         if close:
             response.force_close()
--- a/src/chalkgrade/sharing/cluster_snapshot.py
+++ b/src/chalkgrade/sharing/cluster_snapshot.py
@@ -4,6 +4,7 @@
 
 from chalkgrade.machines.flavors import Flavor
 from chalkgrade.machines.fleet import Fleet, Machine
+from chalkgrade.machines.message_size import machine_capacity, machine_demand
 from chalkgrade.machines.placement import Occupant, Slot, may_use_machine, room_wait_s
 from chalkgrade.record.jobs import Attempt, JobSpec
 from chalkgrade.sharing.queues import Queues
@@ -71,6 +72,7 @@
     def _slot(self, machine: Machine) -> Slot:
         """Describe a machine as a slot; its occupants are only loaded when needed."""
         flavor = self.flavors[machine.hosttype]
+        capacity = machine_capacity(flavor.resources)
         fetching = {
             attempt.job.spec.bundle
             for attempt in machine.attempts.values()
@@ -81,8 +83,8 @@
             machine.hosttype,
             machine.site,
             machine.standby,
-            minus(flavor.resources, machine.used),
-            flavor.resources,
+            minus(capacity, machine.used_with_unrecorded()),
+            capacity,
             set(machine.images),
             flavor.pullGbPerS,
             machine.failures,
@@ -123,7 +125,7 @@
             attempt.number,
             spec.owner,
             spec.urgency_rank,
-            spec.resources,
+            machine_demand(spec),
             remaining_s,
             lost_s * spec.vcpus,
             stopping,
@@ -136,14 +138,14 @@
 
         The list is computed once per round for all jobs with the same requirements.
         """
-        key = spec.machine_constraints
+        key, demand = spec.machine_constraints, machine_demand(spec)
         if key not in self._slots_by_wait:
             self._slots_by_wait[key] = sorted(
                 (
                     (room_wait_s(spec, slot), slot.name, slot)
                     for slot in self.all_slots()
                     if may_use_machine(spec, slot.hosttype, slot.site, slot.standby)
-                    and fits(spec.resources, slot.total)
+                    and fits(demand, slot.total)
                 ),
                 key=lambda entry: entry[:2],
             )
--- a/src/chalkgrade/sharing/constraints.py
+++ b/src/chalkgrade/sharing/constraints.py
@@ -6,6 +6,7 @@
 from chalkgrade import constants
 from chalkgrade.extensions.constraints import Preemption, StartConstraint
 from chalkgrade.machines.fleet import Fleet
+from chalkgrade.machines.message_size import machine_demand
 from chalkgrade.machines.placement import Slot, eligible_zones
 from chalkgrade.record.jobs import Job
 from chalkgrade.settings import Team
@@ -194,8 +195,8 @@
     def reserve_slot(self, job: Job, slot: Slot) -> None:
         """Reserve room for one task; on a large machine the rest stays available to other jobs."""
         self.reserved_machines += not slot.reserved_for
-        slot.reserved_for, slot.reserved = job.name, job.spec.resources
+        slot.reserved_for, slot.reserved = job.name, machine_demand(job.spec)
 
     def allows_slot(self, job: Job, slot: Slot) -> bool:
         """Whether the task fits into the room that is not reserved for another job."""
-        return not slot.reserved_for or fits(job.spec.resources, slot.room_for(job.name))
+        return not slot.reserved_for or fits(machine_demand(job.spec), slot.room_for(job.name))
--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -14,6 +14,7 @@
 from chalkgrade.logs import decision_fields
 from chalkgrade.machines.flavors import Flavor
 from chalkgrade.machines.fleet import Fleet
+from chalkgrade.machines.message_size import machine_demand
 from chalkgrade.machines.placement import Slot, SlotPicker, choose_gang_slots, occupy_slot
 from chalkgrade.outside import Clock
 from chalkgrade.record.jobs import Job
@@ -321,7 +322,7 @@
                 and self.constraints.is_ready(job)
                 and self.constraints.max_starts(job, 1) > 0
                 and slot.site in self.constraints.allowed_zones(job, self.snapshot.zones)
-                and fits(job.spec.resources, slot.free)
+                and fits(machine_demand(job.spec), slot.free)
                 and self.constraints.allows_slot(job, slot)
             ):
                 occupy_slot(slot, job.spec)
--- a/src/chalkgrade/vectors.py
+++ b/src/chalkgrade/vectors.py
@@ -4,7 +4,7 @@
 
 Vector = tuple[float, ...]
 ZERO: Vector = (0.0, 0.0, 0.0)
-EPS = 1e-9  # tolerance for rounding; below any amount that a task may request
+EPS = 1e-9  # tolerance for rounding; a smaller amount counts as none
 
 
 def fits(need: Vector, room: Vector) -> bool:
@@ -15,6 +15,15 @@
     return True
 
 
+def count_fitting(need: Vector, room: Vector, most: int) -> int:
+    """How many times `room` holds `need`, from 0 to `most`; `most` if nothing is needed.
+
+    Amounts up to `EPS` count as nothing, as in `fits`; dividing by them could overflow.
+    """
+    counts = (int((has + EPS) // want) for want, has in zip(need, room, strict=False) if want > EPS)
+    return max(0, min(most, min(counts, default=most)))
+
+
 def plus(one: Vector, other: Vector) -> Vector:
     """The sum of two vectors."""
     return tuple(map(add, one, other))
--- a/tests/test_absence_model.py
+++ b/tests/test_absence_model.py
@@ -18,7 +18,8 @@
     run_state_machine_as_test,
 )
 
-from chalkgrade.machines.fleet import Fleet, Machine, Report, TaskReport, orders
+from chalkgrade.machines.fleet import Fleet, Machine, Report, TaskReport
+from chalkgrade.machines.orders import orders
 from chalkgrade.record.jobs import Attempt, Job, JobValue
 from chalkgrade.record.oplog import OpLog
 from chalkgrade.region.loop import ManualClock
@@ -280,11 +281,11 @@
     """Accepts reports in the order of arrival."""
     original = Fleet.accept_report
 
-    def take(self: Fleet, report: Report) -> Machine | None:
+    def take(self: Fleet, report: Report, size: int = 0) -> Machine | None:
         machine = self.machines.get(report.host)
         if machine is not None and (report.tenure, report.seq) < (machine.tenure, machine.seq):
             machine.tenure, machine.seq = 0, 0
-        return original(self, report)
+        return original(self, report, size)
 
     patch.setattr(Fleet, "accept_report", take)
 
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -14,7 +14,6 @@
 
 from chalkgrade.leading import reports
 from chalkgrade.leading.term import Term
-from chalkgrade.machines import fleet
 from chalkgrade.machines.fleet import Machine
 from chalkgrade.record.registry import JobRegistry
 from chalkgrade.region.rules import Broken
@@ -304,7 +303,7 @@
 
     The cancelled task would run on; the test must detect that.
     """
-    plain = fleet.orders
+    plain = reports.orders
 
     def orders(machine: Machine, *args: Any, **more: Any) -> list[dict[str, Any]]:
         told = {key for key, attempt in machine.attempts.items() if attempt.kill_sent}
@@ -500,7 +499,7 @@
     monkeypatch: Patch,
 ) -> None:
     """Bug: an answer that may not launch tasks has no kill orders either."""
-    plain = fleet.orders
+    plain = reports.orders
 
     def orders(*args: Any, launches: bool) -> list[dict[str, Any]]:
         return plain(*args, launches=launches) if launches else []
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -15,6 +15,7 @@
 
 def _job(name: str, tasks: int, eligible_at: float = 0.0, **changes: Any) -> Any:
     spec = {"jobclass": "sums", "shape": "batch", "tasks": tasks, "vcpus": 1.0, "resources": ()}
+    spec |= {"nameId": name, "gpus": 0.0, "memoryGb": 0.0}
     spec |= {key: changes.pop(key) for key in tuple(changes) if key in spec}
     fields = {
         "name": name,
--- a/tests/test_reports_at_start.py
+++ b/tests/test_reports_at_start.py
@@ -125,8 +125,8 @@
     seen: dict[str, int] = {}
     original = Fleet.accept_report
 
-    def take(self: Fleet, report: Any) -> Any:
-        machine = original(self, report)
+    def take(self: Fleet, report: Any, size: int = 0) -> Any:
+        machine = original(self, report, size)
         if machine is not None:
             seen[report.host] = seen.get(report.host, 0) + 1
         return machine
