Error texts are cut, so that an answer stays within a line of 64 KiB

What callers saw: a submission with an odd field of 15 KB was answered with a line of 75 KB, over the limit for responses to users.

Cause: error texts quote fields of the request, and a character that is escaped takes five bytes for one.

Evidence: test_error_texts_stay_within_a_line fails on the code before for owner, shape and urgency.

Change: an error text has at most 1,000 characters, for all of a node's answers. Result: these tests and those of odd requests pass.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -355,6 +355,8 @@
 # Of a worker's report. Longer than the limit of the protocol, so that a machine on which another
 # version placed too many tasks keeps its lease while they end.
 MAX_REPORT_BODY_BYTES: Final = 4 * MAX_BODY_BYTES
+# Of an error text in an answer: it may quote a request, and escaped characters are longer there.
+MAX_ERROR_CHARS: Final = 1000
 REPORT_HEADER_BYTES: Final = 1024  # a report without its tasks
 ORDERS_HEADER_BYTES: Final = 64  # a response to a worker without its orders
 INTAKE_DEADLINE_S: Final = 4.0  # users give up at 5 s
--- a/src/chalkgrade/serving/node.py
+++ b/src/chalkgrade/serving/node.py
@@ -417,6 +417,13 @@
 
     async def handle(self, method: str, path: str, body: bytes) -> Answer:
         """Answer an HTTP request of a user, a worker or the load balancer."""
+        status, answer = await self._answer_request(method, path, body)
+        error = answer.get("error")
+        if isinstance(error, str) and len(error) > constants.MAX_ERROR_CHARS:
+            answer = {**answer, "error": error[: constants.MAX_ERROR_CHARS]}
+        return status, answer
+
+    async def _answer_request(self, method: str, path: str, body: bytes) -> Answer:
         if not self.message_sizes.accepts(path, len(body)):
             return 400, {"error": "body too long"}
         if path == "/hello" and method == "POST":
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -287,3 +287,21 @@
     machine.detach(next(iter(machine.attempts.values())))
     slot.free = minus(capacity, machine.used_with_unrecorded())
     assert choose_slot(job.spec, [slot], {"a"}) is slot
+
+
+# -- users, the state service and other controllers ----------------------------------------------
+
+
+@pytest.mark.parametrize("field", ["owner", "shape", "urgency", "site"])
+def test_error_texts_stay_within_a_line(field: str) -> None:
+    """Guards against an error that quotes a long field with escapes, five bytes for one."""
+
+    async def story(world: World) -> None:
+        node = _acting_leader(world)
+        assert node is not None
+        body = encode(_array(world, 1) | {field: "\x7f" * 15_000})
+        status, answer = await node.handle("POST", "/v2/runs", body)
+        assert status in (400, 422) and answer["error"]
+        assert len(encode(answer)) <= MAX_LINE_BYTES
+
+    tell(story, kind=LargeMachines)
