Commits and comparisons count the bytes of their conditions

What callers saw: nothing yet. Where the state service allows large values and transactions (64 KiB, 400 changes), a burst of submissions with long ids made a commit over 64 KiB, which the service refuses as malformed; so did comparisons of many keys.

Cause: a commit was cut by the size of its values, and its conditions, two for each submission, were only counted.

Evidence: test_commits_and_comparisons_of_many_keys_count_their_conditions fails on the code before: the region's state service refuses transactions over 64 KiB.

Change: conditions count with their bytes, a value leaves room for its commit, and comparisons take as many keys as fit. With the platform's present limits (16 KiB, 16 to 24 changes) nothing changes.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -206,6 +206,10 @@
 # Kept free below the size limits; an eighth of the limit for small values.
 COMMIT_HEADROOM_BYTES: Final = 512
 MAX_COMMIT_BYTES: Final = 64 * 1024  # limit of the protocol for a whole commit
+# The longest value that a commit can hold beside its key, its conditions and the leader's.
+MAX_COMMITTED_VALUE_BYTES: Final = 60 * 1024
+MAX_KEY_BYTES: Final = 200  # of a key of the state service, limit of the protocol
+CONDITION_OVERHEAD_BYTES: Final = 48  # a condition of a commit without its key
 # A log segment filled above this ratio is not appended to: rewriting it costs bytes.
 SEGMENT_FILL_RATIO: Final = 0.5
 # Segments in use before pages are written to free the oldest ones. With small segments the
--- a/src/chalkgrade/record/changes.py
+++ b/src/chalkgrade/record/changes.py
@@ -18,6 +18,11 @@
     return msgspec.Raw(encode(value))
 
 
+def conditions_size(keys: Iterable[str]) -> int:
+    """Return the most bytes that conditions on these keys take in a commit."""
+    return sum(len(key) + constants.CONDITION_OVERHEAD_BYTES for key in keys)
+
+
 class RecentEnds(BoundedDict[str, str]):
     """The jobs that ended most recently under this token, with their final status.
 
@@ -136,6 +141,11 @@
     absent_keys: list[str] = field(default_factory=list)
     admissions: list["Admission"] = field(default_factory=list)  # the submissions it makes durable
 
+    @property
+    def absence_bytes(self) -> int:
+        """Bytes that the conditions on absent keys take in a commit, at most."""
+        return conditions_size(self.absent_keys)
+
 
 @dataclass(eq=False)
 class Admission:
--- a/src/chalkgrade/record/registry.py
+++ b/src/chalkgrade/record/registry.py
@@ -23,6 +23,7 @@
     PersistedValue,
     RecentEnds,
     RecordChange,
+    conditions_size,
     encode_raw,
     group_by_batch,
 )
@@ -288,10 +289,13 @@
             self.batch_number += 1
             batch = Batch(f"{BATCH_PREFIX}{self.context.token}-{self.batch_number}")
         size = batch.size
+        # The commit holds the batch's value and two conditions for each submission.
+        commit_bytes_left = constants.MAX_COMMIT_BYTES - 2 * constants.COMMIT_HEADROOM_BYTES
         admitted: list[Admission] = []
         for admission in candidates:
             size += len(admission.raw) + 1
-            if admitted and size > limit:
+            commit_bytes_left -= conditions_size(_admission_keys(admission))
+            if admitted and (size > limit or size > commit_bytes_left):
                 break
             admitted.append(admission)
             admission.sent = True
@@ -300,7 +304,7 @@
             partial(self._admitted, batch, admitted),
             batch=batch,
             edits={name: a.raw for name, a in zip(names, admitted, strict=True)},
-            absent_keys=[prefix + name for name in names for prefix in (JOB_PREFIX, END_PREFIX)],
+            absent_keys=[key for admission in admitted for key in _admission_keys(admission)],
             admissions=admitted,
         )
 
@@ -554,3 +558,9 @@
     return [
         KeyWrite(piece.segment.key, piece.segment.stamp, piece.value) for piece in flush.appends
     ]
+
+
+def _admission_keys(admission: Admission) -> list[str]:
+    """Return the keys that must be absent for a submission to be new."""
+    name = admission.value.spec.nameId
+    return [JOB_PREFIX + name, END_PREFIX + name]
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -58,7 +58,7 @@
                 continue  # a value over the limit would always be rejected
             adds_batch = change.batch is not None and change.batch not in edits
             op_count = len(change.writes) + adds_batch
-            size = sum(write.size for write in change.writes)
+            size = sum(write.size for write in change.writes) + change.absence_bytes
             size += sum(len(value or b"") + 80 for value in change.edits.values())
             if adds_batch and change.batch is not None:
                 size += change.batch.size + 120
--- a/src/chalkgrade/serving/lookups.py
+++ b/src/chalkgrade/serving/lookups.py
@@ -29,7 +29,7 @@
     @property
     def _jobs_per_request(self) -> int:
         """Return how many jobs fit into one request: each takes two conditions."""
-        return max(1, self._ledger.limits.max_conditions // 2)
+        return max(1, self._ledger.limits.max_compared_keys // 2)
 
     async def existing_job_keys(self, name: str) -> set[str]:
         """Return which of a job's record key and final key exist; the read starts after the call.
--- a/src/chalkgrade/state/client.py
+++ b/src/chalkgrade/state/client.py
@@ -386,8 +386,9 @@
         again, since an answer that names only the first failure does not prove them absent.
         """
         found: set[str] = set()
-        for begin in range(0, len(keys), self.limits.max_conditions):
-            left = dict.fromkeys(keys[begin : begin + self.limits.max_conditions], 0)
+        count = self.limits.max_compared_keys
+        for begin in range(0, len(keys), count):
+            left = dict.fromkeys(keys[begin : begin + count], 0)
             while left:
                 try:
                     await self.commit(left, [])
--- a/src/chalkgrade/state/limits.py
+++ b/src/chalkgrade/state/limits.py
@@ -50,6 +50,16 @@
         """Maximum number of conditions in one transaction."""
         return 4 * self.txn_ops
 
+    @property
+    def max_compared_keys(self) -> int:
+        """Maximum number of keys of any length that one transaction can compare.
+
+        Its size is limited as well, which counts where many conditions are allowed.
+        """
+        bytes_per_key = constants.MAX_KEY_BYTES + constants.CONDITION_OVERHEAD_BYTES
+        fitting = (constants.MAX_COMMIT_BYTES - constants.COMMIT_HEADROOM_BYTES) // bytes_per_key
+        return min(self.max_conditions, fitting)
+
     def note_rejected_commit(self, largest_value_bytes: int) -> bool:
         """Record that the service rejected a commit whose largest value has this size.
 
@@ -63,5 +73,9 @@
 
 
 def usable_value_bytes(value_kb: float) -> int:
-    """The usable part of a value limit: the rest allows for other encodings of the same JSON."""
-    return int(value_kb * 1024 - min(constants.COMMIT_HEADROOM_BYTES, value_kb * 1024 / 8))
+    """The usable part of a value limit: the rest allows for other encodings of the same JSON.
+
+    A commit is limited as well, so that a value can't use more than it has room for.
+    """
+    usable = int(value_kb * 1024 - min(constants.COMMIT_HEADROOM_BYTES, value_kb * 1024 / 8))
+    return min(usable, constants.MAX_COMMITTED_VALUE_BYTES)
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -305,3 +305,28 @@
         assert len(encode(answer)) <= MAX_LINE_BYTES
 
     tell(story, kind=LargeMachines)
+
+
+def test_commits_and_comparisons_of_many_keys_count_their_conditions() -> None:
+    """Guards against a commit over 64 KiB where the service allows large values and commits."""
+
+    class LargeCommits(LargeMachines):
+        STATE = dict(World.STATE, txn_ops=400, value_kb=64, write_rps=4)
+
+    async def story(world: World) -> None:
+        specs = [
+            _array(world, 1, nameId="b" * 75 + f"-{number:06d}", tasks=1, vcpus=1.0)
+            for number in range(300)
+        ]
+        for spec in specs:
+            world.spawn(world.user(spec, None))
+        await _wait_until(world, 120.0, lambda: len(world.jobs) == len(specs))
+        names = [spec["nameId"] for spec in specs]
+        await _wait_until(world, 900.0, lambda: _all_over(world, names))
+        node = _acting_leader(world)
+        assert node is not None
+        ends = [f"cg/end/{name}" for name in names]
+        missing = [f"cg/end/{'c' * 90}-{number}" for number in range(1600)]
+        assert await node.ledger.existing_keys([*missing, *ends]) == set(ends)
+
+    tell(story, kind=LargeCommits)
