A message over 1 MiB between controllers fails alone

What callers saw: nothing yet. A list of cancellations over 1 MiB (10,000 of the longest ids) made the asking controller close the connection, and every other request on it failed, those of users and relayed reports too.

Cause: the receiver's limit for a message was not known to the sender.

Evidence: test_a_message_over_the_limit_fails_alone_between_controllers fails on the code before with FramingError.

Change: the sender checks the length. A request that is too long fails with NoAnswer, an answer that is too long becomes a 503, which for that list means that it is incomplete, the safe reading.

--- a/src/chalkgrade/serving/links.py
+++ b/src/chalkgrade/serving/links.py
@@ -6,12 +6,19 @@
 from typing import Any, cast
 
 from chalkgrade.outside import NoAnswer
-from chalkgrade.serving.netstrings import FramingError, NetstringDecoder, encode_netstring
+from chalkgrade.serving.netstrings import (
+    FramingError,
+    MessageTooLongError,
+    NetstringDecoder,
+    encode_netstring,
+)
 from chalkgrade.serving.node import Node
 from chalkgrade.settings import Peer, split_addr
 
 log = logging.getLogger("chalkgrade.links")
 
+ANSWER_TOO_LONG: dict[str, Any] = {"status": 503, "body": {"error": "the answer is too long"}}
+
 
 class PeerLinks:
     """Sends requests to the other controllers, over one connection to each."""
@@ -115,6 +122,8 @@
         try:
             self.send({**message, "n": request_id})
             return await future
+        except MessageTooLongError as error:
+            raise NoAnswer(str(error)) from None
         finally:
             self._pending.pop(request_id, None)
 
@@ -148,5 +157,10 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _answer(self, message: dict[str, Any]) -> None:
-        reply = await self._node.on_peer(message)
-        self.send({**reply, "n": message.get("n", 0)})
+        reply, request_id = await self._node.on_peer(message), message.get("n", 0)
+        try:
+            self.send({**reply, "n": request_id})
+        except MessageTooLongError as error:
+            # Closing the connection instead would fail all other requests on it.
+            log.warning("answer to a controller not sent: %r: %s", message.get("q"), error)
+            self.send({**ANSWER_TOO_LONG, "n": request_id})
--- a/src/chalkgrade/serving/netstrings.py
+++ b/src/chalkgrade/serving/netstrings.py
@@ -10,13 +10,19 @@
 DIGITS_MAX = len(str(constants.MAX_NETSTRING_BYTES))
 
 
+class MessageTooLongError(Exception):
+    """A message exceeds the limit; the receiver would close the connection."""
+
+
 class FramingError(Exception):
     """The stream is not netstrings of JSON objects; the connection has to be closed."""
 
 
 def encode_netstring(message: Any) -> bytes:
-    """Encode a message as JSON within a netstring."""
+    """Encode a message as JSON within a netstring; MessageTooLongError above the size limit."""
     payload = encode(message)
+    if len(payload) > constants.MAX_NETSTRING_BYTES:
+        raise MessageTooLongError(f"message of {len(payload)} bytes")
     return b"%d:%b," % (len(payload), payload)
 
 
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -5,12 +5,15 @@
 and the same tasks were launched again in a response whose line was too long as well.
 """
 
+import asyncio
 import random
 from collections.abc import Iterable
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
+from chalkgrade.constants import MAX_NETSTRING_BYTES
 from chalkgrade.machines.fleet import Fleet, Machine, Report, TaskReport
 from chalkgrade.machines.message_size import (
     REPORT_CAPACITY_BYTES,
@@ -20,12 +23,14 @@
 )
 from chalkgrade.machines.orders import orders
 from chalkgrade.machines.placement import Slot, choose_slot
-from chalkgrade.outside import encode
+from chalkgrade.outside import NoAnswer, encode
 from chalkgrade.record.jobs import Job, JobSpec, JobValue
 from chalkgrade.record.oplog import OpLog
 from chalkgrade.region.loop import ManualClock
 from chalkgrade.region.rules import MAX_BODY_BYTES, MAX_LINE_BYTES
 from chalkgrade.region.world import World, tell
+from chalkgrade.serving.links import PeerRequestServer, _PeerConnection
+from chalkgrade.serving.netstrings import NetstringDecoder, encode_netstring
 from chalkgrade.vectors import minus
 from test_membership import _acting_leader, _wait_until
 
@@ -330,3 +335,41 @@
         assert await node.ledger.existing_keys([*missing, *ends]) == set(ends)
 
     tell(story, kind=LargeCommits)
+
+
+class _Transport:
+    """Keeps what is written instead of sending it."""
+
+    def __init__(self) -> None:
+        self.written = b""
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def is_closing(self) -> bool:
+        return False
+
+
+def test_a_message_over_the_limit_fails_alone_between_controllers() -> None:
+    """Guards against one long message that closes the connection and fails all other requests."""
+    too_long = ["x" * 100] * (MAX_NETSTRING_BYTES // 100)
+
+    async def on_peer(message: dict[str, Any]) -> dict[str, Any]:
+        return {"status": 200, "body": too_long if message["q"] == "told" else {}}
+
+    async def exchange() -> None:
+        transport: Any = _Transport()
+        server = PeerRequestServer(cast(Any, SimpleNamespace(on_peer=on_peer)))
+        server.connection_made(transport)
+        for number, what in ((1, "told"), (2, "ping")):
+            server.data_received(encode_netstring({"q": what, "n": number}))
+        await asyncio.sleep(0.01)
+        answers = {a["n"]: a["status"] for a in NetstringDecoder().feed(transport.written)}
+        assert answers == {1: 503, 2: 200}
+        connection = _PeerConnection()
+        connection.connection_made(_Transport())  # type: ignore[arg-type]
+        with pytest.raises(NoAnswer):
+            await connection.ask({"q": "hints", "arg": too_long})
+        assert not connection.closed
+
+    asyncio.run(exchange())
