A waiting job whose tasks take nothing doesn't make scheduling rounds raise

Cause: the number of machines to reserve for a starved queue was the minimum over the amounts above 0 that a task takes; a task that takes none leaves an empty sequence.

Change: machines are reserved for the first job that takes something, and the count comes of vectors.count_fitting, which knows amounts of nothing.

--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -17,7 +17,7 @@
 from chalkgrade.machines.message_size import machine_demand
 from chalkgrade.machines.placement import Slot, SlotPicker, choose_gang_slots, occupy_slot
 from chalkgrade.outside import Clock
-from chalkgrade.record.jobs import Job
+from chalkgrade.record.jobs import TASKS_MAX, Job
 from chalkgrade.settings import Team
 from chalkgrade.sharing.bopf import (
     QueueDemand,
@@ -38,7 +38,16 @@
 from chalkgrade.sharing.largest_jobs import overdue_largest_jobs
 from chalkgrade.sharing.preemption import Preemptor
 from chalkgrade.sharing.queues import Queues
-from chalkgrade.vectors import ZERO, Vector, dominant_share, fits, minus, plus
+from chalkgrade.vectors import (
+    ZERO,
+    Vector,
+    count_fitting,
+    dominant_share,
+    fits,
+    is_nothing,
+    minus,
+    plus,
+)
 
 log = logging.getLogger("chalkgrade.sharing")
 
@@ -300,14 +309,16 @@
         return placed + more
 
     def _reserve_for_wide_job(self, jobs: list[Job], left: Vector) -> None:
-        """Reserve machines for the first job that fits what is left of its queue's share."""
-        wide_job = next(
-            (j for j in jobs if j.startable_count and fits(j.spec.resources, left)), None
-        )
-        if wide_job is not None:
-            rooms = zip(left, wide_job.spec.resources, strict=True)
-            count = min(int(a / want) for a, want in rooms if want > 0)
-            self.preemptor.reserve_for_starved(wide_job, count)
+        """Reserve machines for the first job that fits what is left of its queue's share.
+
+        A job whose tasks take nothing needs no room, and must not be the one in place of others.
+        """
+        for job in jobs:
+            resources = job.spec.resources
+            if job.startable_count and not is_nothing(resources) and fits(resources, left):
+                count = count_fitting(resources, left, TASKS_MAX)
+                self.preemptor.reserve_for_starved(job, count)
+                return
 
     def _place_preassigned(self) -> int:
         """Place tasks for which a constraint chose a machine, if the other constraints allow it."""
--- a/src/chalkgrade/vectors.py
+++ b/src/chalkgrade/vectors.py
@@ -15,6 +15,11 @@
     return True
 
 
+def is_nothing(amount: Vector) -> bool:
+    """Whether an amount has no more than `EPS` of any resource."""
+    return all(part <= EPS for part in amount)
+
+
 def count_fitting(need: Vector, room: Vector, most: int) -> int:
     """How many times `room` holds `need`, from 0 to `most`; `most` if nothing is needed.
 
