No task is stopped for a resource that the waiting job doesn't take

What callers saw: a team over its GPU maximum (as after it was lowered) lost its less urgent CPU tasks, one after the other, for a waiting CPU job that could not start.

Cause: tasks are stopped while CPUs or GPUs are over the maximum, and a job that takes none of one of them never brings that down.

Evidence: test_nothing_is_stopped_for_what_a_job_does_not_take fails on the code before (50 stops) and passes now.

Change: only what the job takes counts.

--- a/src/chalkgrade/sharing/constraints.py
+++ b/src/chalkgrade/sharing/constraints.py
@@ -11,7 +11,7 @@
 from chalkgrade.record.jobs import Job
 from chalkgrade.settings import Team
 from chalkgrade.sharing.queues import Queues
-from chalkgrade.vectors import ZERO, Vector, count_fitting, fits, minus, plus
+from chalkgrade.vectors import CPUS, EPS, GPUS, ZERO, Vector, count_fitting, fits, minus, plus
 
 # Reasons that operators see for waiting tasks.
 REASON_BACKOFF = "backing off after failures"
@@ -136,7 +136,9 @@
         excess = minus(plus(self.usage[spec.owner], wanted), self.limit(spec.owner))
         slack = max(constants.MIN_PREEMPTION_WAIT_S, self._queues.slack_s(job))
         excess = minus(excess, stops.resources_ending(spec.owner, slack))
-        while (excess[0] > 0 or excess[1] > 0) and stops.preempt_own_team(job):
+        # What the job doesn't take can't be freed for it, however many tasks are stopped.
+        short = [kind for kind in (CPUS, GPUS) if spec.resources[kind] > EPS]
+        while any(excess[kind] > 0 for kind in short) and stops.preempt_own_team(job):
             excess = minus(excess, spec.resources)
 
     def refusal_reason(self, job: Job) -> str:
--- a/src/chalkgrade/vectors.py
+++ b/src/chalkgrade/vectors.py
@@ -3,6 +3,7 @@
 from operator import add, sub
 
 Vector = tuple[float, ...]
+CPUS, GPUS = 0, 1  # indexes of these resources
 ZERO: Vector = (0.0, 0.0, 0.0)
 EPS = 1e-9  # tolerance for rounding; a smaller amount counts as none
 
--- a/tests/test_odd_amounts.py
+++ b/tests/test_odd_amounts.py
@@ -7,6 +7,7 @@
 
 import logging
 import random
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
@@ -15,6 +16,7 @@
 from chalkgrade.machines.flavors import Flavor, tasks_per_machine
 from chalkgrade.record.jobs import Job, JobSpec, JobValue
 from chalkgrade.record.oplog import OpLog
+from chalkgrade.region.loop import ManualClock
 from chalkgrade.region.world import World, tell
 from chalkgrade.renting.headroom import CapacityTimeline, Headroom
 from chalkgrade.settings import Team
@@ -116,6 +118,32 @@
         assert starts == 5
 
 
+def test_nothing_is_stopped_for_what_a_job_does_not_take() -> None:
+    """Guards against stopping CPU tasks of a team over its GPU maximum, which frees no GPU."""
+    clock = ManualClock()
+    queues: Any = SimpleNamespace(slack_s=lambda job: 100.0)
+    limits = TeamLimits({"blue": Team("blue", 0.0, 8.0, 0.0, 2.0)}, queues)
+    stopped: list[Job] = []
+
+    def preempt_own_team(job: Job) -> bool:
+        stopped.append(job)
+        return len(stopped) < 50
+
+    stops: Any = SimpleNamespace(
+        preempt=True,
+        preempt_own_team=preempt_own_team,
+        resources_ending=lambda owner, within_s: (0.0, 0.0, 0.0),
+        machine_count=lambda: 10,
+    )
+    limits.begin_round([], clock.now())
+    limits.usage["blue"] = (4.0, 3.0, 0.0)
+    limits.preempt_for(_job(tasks=1), stops)
+    assert not stopped
+    limits.usage["blue"] = (8.0, 1.0, 0.0)
+    limits.preempt_for(_job(tasks=1), stops)
+    assert len(stopped) == 1
+
+
 def _odd_job(world: World, rng: random.Random, number: int) -> dict[str, Any]:
     """A job of odd amounts; all of them may run, at the latest once nothing else does."""
     shape = rng.choice(["batch", "batch", "batch", "gang", "service"])
