Machines that cost nothing are rented for work that waits long

What callers saw: beside a machine type whose price is 0, work that would wait over 60 s got no machine of any type.

Cause: such work may use pools at any price, written as the cheapest price times infinity; zero times infinity is no number, and no offer keeps to it.

Evidence: test_machines_that_cost_nothing_are_rented_for_work_that_waits_long fails on the code before (no rental) and passes now.

--- a/src/chalkgrade/renting/plan.py
+++ b/src/chalkgrade/renting/plan.py
@@ -119,9 +119,9 @@
                         )
                     )
     # Expensive pools are for work that would otherwise wait very long or for ever.
-    ratio = float("inf") if _allows_expensive_pools(start_s) else constants.MAX_PRICE_RATIO
+    any_price = _allows_expensive_pools(start_s)
     for _, full, pool, count in sorted(offers):
-        if full <= cheapest * ratio:
+        if any_price or full <= cheapest * constants.MAX_PRICE_RATIO:
             return pool, count
     return None
 
--- a/tests/test_odd_amounts.py
+++ b/tests/test_odd_amounts.py
@@ -19,6 +19,7 @@
 from chalkgrade.region.loop import ManualClock
 from chalkgrade.region.world import World, tell
 from chalkgrade.renting.headroom import CapacityTimeline, Headroom
+from chalkgrade.renting.plan import RentalNeed, plan_rentals
 from chalkgrade.settings import Team
 from chalkgrade.sharing.constraints import TeamLimits
 from chalkgrade.vectors import EPS, count_fitting
@@ -144,6 +145,13 @@
     assert len(stopped) == 1
 
 
+def test_machines_that_cost_nothing_are_rented_for_work_that_waits_long() -> None:
+    """Guards against a price limit of zero times infinity, which no offer keeps to."""
+    free = Flavor("small", 4.0, 16.0, ["a"], hourly=0.0, spotPrice=0.0, bootS=6.0)
+    need = RentalNeed(_job(tasks=4).spec, 4, 5.0, 10.0)
+    assert sum(plan_rentals([need], [], {"small": free}, ()).values()) == 1
+
+
 def _odd_job(world: World, rng: random.Random, number: int) -> dict[str, Any]:
     """A job of odd amounts; all of them may run, at the latest once nothing else does."""
     shape = rng.choice(["batch", "batch", "batch", "gang", "service"])
