One machine's odd report or row doesn't stop rounds or hide the list

What callers saw: nothing yet. A report that names a task `x-1/²` made each round raise (a digit that is no decimal), and a row with a state that the protocol doesn't name made the cloud's whole list unreadable, so that nothing was rented or returned.

Cause: both are read with more trust than needed.

Evidence: the two new tests fail on the code before and pass now.

--- a/src/chalkgrade/renting/cloud.py
+++ b/src/chalkgrade/renting/cloud.py
@@ -4,7 +4,7 @@
 leaders. A request without an answer is repeated under the same name, which rents nothing new.
 """
 
-from typing import Any, Literal
+from typing import Any
 
 import msgspec
 
@@ -20,7 +20,7 @@
     hosttype: str
     site: str
     standby: bool = False
-    status: Literal["starting", "running", "failed"] = "running"
+    status: str = "running"  # starting, running or failed
     ageS: float = 0.0
     addr: str = ""
 
--- a/src/chalkgrade/sharing/cluster_snapshot.py
+++ b/src/chalkgrade/sharing/cluster_snapshot.py
@@ -50,7 +50,7 @@
             strangers = machine.unknown_tasks()
             for entry in strangers:
                 name, _, index = entry.task.rpartition("/")
-                if index.isdigit():
+                if index.isdecimal():
                     self.unknown_tasks[name].add(int(index))
             if flavor is None or strangers or not self.fleet.usable(machine):
                 continue
--- a/tests/test_odd_amounts.py
+++ b/tests/test_odd_amounts.py
@@ -5,6 +5,7 @@
 the same jobs each second, so that nothing was started for anybody.
 """
 
+import asyncio
 import logging
 import random
 from types import SimpleNamespace
@@ -14,16 +15,19 @@
 from msgspec import structs
 
 from chalkgrade.machines.flavors import Flavor, tasks_per_machine
+from chalkgrade.machines.fleet import Machine, TaskReport
+from chalkgrade.outside import Reply, encode
 from chalkgrade.record.jobs import Job, JobSpec, JobValue
 from chalkgrade.record.oplog import OpLog
 from chalkgrade.region.loop import ManualClock
 from chalkgrade.region.world import World, tell
+from chalkgrade.renting.cloud import CloudClient
 from chalkgrade.renting.headroom import CapacityTimeline, Headroom
 from chalkgrade.renting.plan import RentalNeed, plan_rentals
 from chalkgrade.settings import Team
 from chalkgrade.sharing.constraints import TeamLimits
 from chalkgrade.vectors import EPS, count_fitting
-from test_membership import _wait_until
+from test_membership import _acting_leader, _wait_until
 
 Patch = pytest.MonkeyPatch
 Log = pytest.LogCaptureFixture
@@ -152,6 +156,36 @@
     assert sum(plan_rentals([need], [], {"small": free}, ()).values()) == 1
 
 
+def test_a_task_name_of_odd_digits_does_not_stop_the_rounds(caplog: Log) -> None:
+    """Guards against a machine whose report names a task that no number can be read from."""
+
+    async def story(world: World) -> None:
+        await _submit_and_finish(world, [_plain(world, 1)], 60.0)
+        node = _acting_leader(world)
+        assert node is not None and node.term is not None
+        machine: Machine = next(iter(node.term.fleet.machines.values()))
+        machine.tasks["x-1/²", 1] = TaskReport("x-1/²", 1)
+        node.term.scheduling.round_requested.set()
+        await _submit_and_finish(world, [_plain(world, 2)], 60.0)
+
+    with caplog.at_level(logging.ERROR):
+        tell(story, kind=ThreeZones)
+    assert "loop failed" not in caplog.text
+
+
+def test_a_machine_in_an_unknown_state_does_not_hide_the_other_machines() -> None:
+    """Guards against a list that can't be read, and so no rental, because of one machine's row."""
+    row = {"nameId": "host-1", "hosttype": "small", "site": "a", "standby": True, "ageS": 1.0}
+    page = {"hosts": [row | {"status": "resizing"}, row | {"nameId": "host-2"}], "more": False}
+
+    async def call(*request: Any) -> Reply:
+        return Reply(200, encode(page))
+
+    client = CloudClient(cast(Any, SimpleNamespace(call=call)), ManualClock(), "cloud:1", 5.0)
+    rows, _ = asyncio.run(client.list_machines())
+    assert [row.nameId for row in rows] == ["host-1", "host-2"]
+
+
 def _odd_job(world: World, rng: random.Random, number: int) -> dict[str, Any]:
     """A job of odd amounts; all of them may run, at the latest once nothing else does."""
     shape = rng.choice(["batch", "batch", "batch", "gang", "service"])
