A job whose handling raises is set aside by name, and all others go on

The loop was started again with the same jobs, and so would the next leader's have been.

Cause: rounds, rental plans and move plans decide on all jobs at once, and an error didn't say for which.

Evidence: with an error injected for one job at seven places of a round and of a rental plan, no other job was started; tests/test_odd_amounts.py, section two, which can't run on the code before (the module is new).

Change: loops over jobs tell which job is being handled (sharing/isolation.py, a start constraint). If that raises, the job is left out for 2 s, then twice as long each time up to 60 s, logged with its traceback, counted in `jobs_set_aside` and shown as a wait reason, and the decision is made again without it. An error that belongs to no job still restarts the loop, whose name is logged. An attempt is on its machine's record before anything after its placement can raise.

Three tests construct parts of a round and pass them the isolation now; they check what they checked before.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -254,6 +254,9 @@
 # broken job does not restart in a tight loop.
 MIN_JOB_BACKOFF_S: Final = 2.0
 MAX_JOB_BACKOFF_S: Final = 60.0
+MAX_BACKOFF_DOUBLINGS: Final = 8  # beyond it the pause is the longest anyway
+# Jobs that one decision leaves out after errors before the error stops the decision itself.
+MAX_JOBS_SET_ASIDE_AT_ONCE: Final = 8
 KILL_GRACE_S: Final = 10.0  # time in which a stopped task with checkpoints may save
 
 # --- rentals ------------------------------------------------------------------
--- a/src/chalkgrade/experiments/moves.py
+++ b/src/chalkgrade/experiments/moves.py
@@ -30,6 +30,7 @@
 from chalkgrade.region.world import World, close
 from chalkgrade.renting.boot_times import BootTimes
 from chalkgrade.settings import Team
+from chalkgrade.sharing.isolation import JobIsolation
 from chalkgrade.sharing.queues import Queues
 from chalkgrade.sharing.term_context import TermContext
 
@@ -315,7 +316,9 @@
     context: Any = SimpleNamespace(settings=settings, clock=clock)
     book: Any = SimpleNamespace(jobs=jobs)
     renter: Any = SimpleNamespace(boot_times=BootTimes())
-    domain = TermContext(context, book, fleet, queues, flavors, lambda: True)
+    domain = TermContext(
+        context, book, fleet, queues, flavors, lambda: True, JobIsolation(context.clock)
+    )
     moves = part.Moves(
         domain, MoveSettings(per_minute=6000.0), renter, lambda job, count: count, lambda _: False
     )
--- a/src/chalkgrade/leading/failures.py
+++ b/src/chalkgrade/leading/failures.py
@@ -34,9 +34,9 @@
             if job.is_faulty or cause == "unknown":
                 # Tasks that already ran can all fail at the same moment, which counts as one
                 # failure. Probes run one at a time, so each failed probe doubles the delay.
-                pause = constants.MIN_JOB_BACKOFF_S * 2 ** min(
-                    8, job.failed_probes if not job.live else 0
-                )
+                doublings = job.failed_probes if not job.live else 0
+                doublings = min(constants.MAX_BACKOFF_DOUBLINGS, doublings)
+                pause = constants.MIN_JOB_BACKOFF_S * 2**doublings
                 job.retry_at = self._clock.now() + min(constants.MAX_JOB_BACKOFF_S, pause)
             log.info(
                 "attempt failed: %s on %s: %s%s",
--- a/src/chalkgrade/leading/scheduling.py
+++ b/src/chalkgrade/leading/scheduling.py
@@ -41,7 +41,9 @@
         self.is_serving = term_context.is_serving
         self.expire_leases = expire_leases  # ends attempts on machines whose lease is over
         self.pools_without_capacity = pools_without_capacity  # as recently refused by the cloud
-        self.component_constraints: list[StartConstraint] = []  # of the term's components
+        self.isolation = term_context.isolation
+        # The isolation of faulty jobs, and the constraints of the term's components.
+        self.component_constraints: list[StartConstraint] = [self.isolation]
         self.teams = {team.name: team for team in context.settings.cluster.teams}
         self.round_requested = asyncio.Event()
         self.round_finished = Signal()
@@ -79,6 +81,8 @@
         jobs = self.registry.jobs.values()
         yield gauge("jobs", "Jobs that are not over", len(jobs))
         yield gauge("machines", "Machines known", len(self.fleet.machines))
+        set_aside = self.isolation.set_aside_count()
+        yield gauge("jobs_set_aside", "Jobs left out after an internal error", set_aside)
         yield gauge("tasks_waiting", "Tasks without an attempt", sum(len(j.waiting) for j in jobs))
         yield gauge("tasks_live", "Attempts that may be present", sum(len(j.live) for j in jobs))
         yield Sample(
@@ -129,6 +133,15 @@
         preempt = now - self.preempted_at >= constants.PREEMPTION_INTERVAL_S
         if preempt:
             self.preempted_at = now
+        placed, preempted = self.isolation.run(lambda: self._decide(preempt))
+        if placed or preempted:
+            log.debug("round finished: placed %d, stopping %d", placed, preempted)
+        if now - self.status_logged_at >= constants.STATUS_LOG_INTERVAL_S:
+            self.status_logged_at = now
+            self._log_status()
+
+    def _decide(self, preempt: bool) -> tuple[int, int]:
+        """Places what can be placed; returns the numbers of new and of stopped attempts."""
         plan = SchedulingRound(
             self.registry.jobs,
             self.fleet,
@@ -138,13 +151,10 @@
             self.clock,
             preempt,
             self.component_constraints,
+            self.isolation,
         )
         placed = plan.run()
-        if placed or plan.preempted_count:
-            log.debug("round finished: placed %d, stopping %d", placed, plan.preempted_count)
-        if now - self.status_logged_at >= constants.STATUS_LOG_INTERVAL_S:
-            self.status_logged_at = now
-            self._log_status()
+        return placed, plan.preempted_count
 
     def wants_work(self, machine: Machine) -> bool:
         """Returns whether a round could place a task on a machine that has just reported."""
--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -32,6 +32,7 @@
 from chalkgrade.renting.cloud import CloudClient
 from chalkgrade.renting.renter import Renter
 from chalkgrade.renting.subsystem_context import SubsystemContext
+from chalkgrade.sharing.isolation import JobIsolation
 from chalkgrade.sharing.queues import Queues
 from chalkgrade.sharing.term_context import TermContext
 from chalkgrade.state.client import Conflict, NotExecuted
@@ -69,7 +70,13 @@
         self.jobs = self.registry.jobs
         self.hint_exchange = hint_exchange
         self.term_context = term_context = TermContext(
-            context, self.registry, self.fleet, self.queues, flavors, self.is_serving
+            context,
+            self.registry,
+            self.fleet,
+            self.queues,
+            flavors,
+            self.is_serving,
+            JobIsolation(context.clock, context.token),
         )
         self.renter = Renter(term_context, cloud, self._on_attempt_lost, self._max_demand)
         self.renter.upcoming_jobs = lambda: self.pipelines.graph.ready_within(
@@ -168,7 +175,8 @@
                     raise
                 log.exception("loop cancelled without a request")
             except Exception:
-                log.exception("loop failed%s", "; stepping down" if fatal else "")
+                name = getattr(loop, "__qualname__", str(loop))
+                log.exception("loop failed: %s%s", name, "; stepping down" if fatal else "")
             if fatal:
                 self.leadership.step_down()
                 return
--- a/src/chalkgrade/moves/part.py
+++ b/src/chalkgrade/moves/part.py
@@ -195,7 +195,7 @@
             if self.term_context.is_serving():
                 self._advance()
                 if len(self.value.plans) < constants.MAX_CONCURRENT_MOVE_PLANS:
-                    self._plan_next_job()
+                    self.term_context.isolation.run(self._plan_next_job)
                 if self.persisted_value.is_dirty:
                     self.registry.flush_wanted.set()
 
@@ -276,10 +276,12 @@
 
     def _plan_next_job(self) -> None:
         """Searches a plan for the first waiting job whose last search is long enough ago."""
-        jobs = sorted(
-            (job for job in self.registry.jobs.values() if self._is_candidate(job)),
-            key=self.term_context.queues.scheduling_key,
+        isolation = self.term_context.isolation
+        candidates = filter(
+            self._is_candidate,
+            isolation.each(filter(isolation.is_ready, self.registry.jobs.values())),
         )
+        jobs = isolation.sort(candidates, self.term_context.queues.scheduling_key)
         if not jobs:
             return
         # A job that fits some machine needs no plan: it only waits for its turn.
@@ -289,7 +291,7 @@
             self.fleet, self.term_context.flavors, self.term_context.queues, min_vcpus, now
         )
         slots = snapshot.all_slots()
-        for job in jobs:
+        for job in isolation.each(jobs):
             # One search per call, and for each shape of work only once per MOVE_RETRY_S: a search
             # costs more than a scheduling round, and one that found no plan would find none
             # a moment later either.
--- a/src/chalkgrade/renting/needs.py
+++ b/src/chalkgrade/renting/needs.py
@@ -45,6 +45,7 @@
         self._fleet = term_context.fleet
         self._queues = term_context.queues
         self._flavors = term_context.flavors
+        self._isolation = term_context.isolation
         # How many of so many waiting tasks the start constraints would let start.
         self._startable_tasks = startable_tasks
 
@@ -57,8 +58,13 @@
         CPUs that waiting tasks want are added to `report`.
         """
         needs: list[RentalNeed] = []
-        jobs = [job for job in self._registry.jobs.values() if not job.is_blocked]
-        for job in sorted(jobs, key=self._queues.scheduling_key):
+        jobs = [
+            job
+            for job in filter(self._isolation.is_ready, self._registry.jobs.values())
+            if not job.is_blocked
+        ]
+        jobs = self._isolation.sort(jobs, self._queues.scheduling_key)
+        for job in self._isolation.each(jobs):
             # A faulty job, or one without licence seats, gets no more machines than it may use.
             tasks = self._startable_tasks(job, job.startable_count)
             if job.aborted or job.aborting or not tasks:
@@ -119,7 +125,9 @@
     def _upcoming_needs(self, upcoming: Iterable[tuple[Job, float]]) -> Iterable[RentalNeed]:
         """Needs of jobs that may run before a machine rented for them now would have booted."""
         boot_s = min((flavor.bootS for flavor in self._flavors.values()), default=0.0)
-        for job, in_s in upcoming:
+        jobs_and_times = dict(upcoming)
+        for job in self._isolation.each(filter(self._isolation.is_ready, jobs_and_times)):
+            in_s = jobs_and_times[job]
             if in_s <= boot_s:
                 patience = in_s + constants.MAX_RENTAL_WAIT_S
                 yield RentalNeed(
--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -7,7 +7,8 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 from typing import Any
 
 from chalkgrade import constants
@@ -22,7 +23,7 @@
 from chalkgrade.renting.cloud import CloudClient, RentalRefusedError
 from chalkgrade.renting.headroom import NEVER
 from chalkgrade.renting.needs import WaitingWork
-from chalkgrade.renting.plan import MachineCapacity, plan_rentals
+from chalkgrade.renting.plan import MachineCapacity, RentalNeed, plan_rentals
 from chalkgrade.renting.report import PlanReport
 from chalkgrade.sharing.term_context import TermContext
 
@@ -44,6 +45,7 @@
         self.registry = term_context.registry
         self.fleet = term_context.fleet
         self.queues = term_context.queues
+        self.isolation = term_context.isolation
         self.flavors = term_context.flavors
         # The machine flavors are persisted for controllers that can't ask the cloud.
         self.flavor_record = persisted_flavors(term_context.flavors)
@@ -334,31 +336,12 @@
             unreliable, probing = self._find_unreliable_pools(now)
             closed_pools += probing
             self.planned_at = now
-            self.report = PlanReport()
-            needs = self.waiting_work.rental_needs(self.upcoming_jobs(), self.report)
-            self.has_waiting_work = bool(needs)
-            if needs:
-                excluded = [*closed_pools, *self.pending_rentals]
-                capacities, ends = self._machine_capacities(now)
-                headroom = self.waiting_work.team_headroom(ends)
-                planned_by_pool = plan_rentals(
-                    needs,
-                    capacities,
-                    self.flavors,
-                    excluded,
-                    self.boot_times,
-                    self.report,
-                    headroom,
-                )
-                for pool, planned in planned_by_pool.items():
-                    count = (
-                        min(planned, constants.MAX_BOOT_PROBES) if pool in unreliable else planned
-                    )
-                    self.rental_number += 1
-                    self.pending_rentals[pool] = (
-                        f"h{self.fleet.token}-{self.rental_number}",
-                        count,
-                    )
+            excluded = [*closed_pools, *self.pending_rentals]
+            planned_by_pool = self.isolation.run(partial(self._plan, now, excluded))
+            for pool, planned in planned_by_pool.items():
+                count = min(planned, constants.MAX_BOOT_PROBES) if pool in unreliable else planned
+                self.rental_number += 1
+                self.pending_rentals[pool] = (f"h{self.fleet.token}-{self.rental_number}", count)
             self.plan_duration_s = self.clock.now() - now
             self._log_report(now)
             if not self.pending_rentals:
@@ -376,6 +359,31 @@
                 if len(names) < count:
                     self.refused_until[pool] = self.clock.now() + constants.REFUSED_POOL_PAUSE_S
 
+    def _plan(self, now: float, excluded: list[Pool]) -> dict[Pool, int]:
+        """Returns how many machines to rent from each pool but the excluded ones."""
+        self.report = PlanReport()
+        needs = self.waiting_work.rental_needs(self.upcoming_jobs(), self.report)
+        self.has_waiting_work = bool(needs)
+        if not needs:
+            return {}
+        capacities, ends = self._machine_capacities(now)
+        headroom = self.waiting_work.team_headroom(ends)
+        return plan_rentals(
+            self._handled_needs(needs),
+            capacities,
+            self.flavors,
+            excluded,
+            self.boot_times,
+            self.report,
+            headroom,
+        )
+
+    def _handled_needs(self, needs: list[RentalNeed]) -> Iterator[RentalNeed]:
+        """Yields the needs; errors in planning one are attributed to its (first) job."""
+        jobs = (self.registry.jobs[need.spec.nameId] for need in needs)
+        for _, need in zip(self.isolation.each(jobs), needs, strict=True):
+            yield need
+
     def _find_unreliable_pools(self, now: float) -> tuple[set[Pool], list[Pool]]:
         """Returns the unreliable pools, and those of them where a probe machine is booting."""
         booting: dict[Pool, list[float]] = {}
--- a/src/chalkgrade/sharing/demands.py
+++ b/src/chalkgrade/sharing/demands.py
@@ -6,6 +6,7 @@
 from chalkgrade.settings import Team
 from chalkgrade.sharing.bopf import QueueDemand, QueueKind, admit
 from chalkgrade.sharing.cluster_snapshot import ClusterSnapshot
+from chalkgrade.sharing.isolation import JobIsolation
 from chalkgrade.sharing.queues import Queues
 from chalkgrade.vectors import ZERO, Vector, dominant_share, plus
 
@@ -25,8 +26,10 @@
         queue_usage: dict[str, Vector],
         lowest_urgency: int,
         constraints: ConstraintSet,
+        isolation: JobIsolation,
     ) -> None:
         self.constraints = constraints
+        self.isolation = isolation
         self.queues = queues
         self.teams = teams
         self.snapshot = snapshot
@@ -61,7 +64,7 @@
                 record.kind = kind.value
                 queues.mark_changed(queue)
             wanted, task, remaining_work = self.queue_usage[queue], ZERO, 0.0
-            for job in jobs:
+            for job in self.isolation.each(jobs):
                 count = self.constraints.max_demand(job, job.startable_count)
                 wanted = plus(wanted, tuple(a * count for a in job.spec.resources))
                 task = tuple(max(a, b) for a, b in zip(task, job.spec.resources, strict=True))
@@ -74,7 +77,7 @@
             # because jobs without waiting tasks hold resources too; if they were left out, they
             # would use up what the other jobs are granted.
             needed_now = self.queue_usage[queue]
-            for job in jobs:
+            for job in self.isolation.each(jobs):
                 missing = min(
                     job.startable_count, max(0, self.tasks_needed_now(job) - len(job.live))
                 )
--- a/src/chalkgrade/sharing/preemption.py
+++ b/src/chalkgrade/sharing/preemption.py
@@ -20,6 +20,7 @@
 from chalkgrade.settings import Team
 from chalkgrade.sharing.cluster_snapshot import ClusterSnapshot
 from chalkgrade.sharing.constraints import SlotReservations, TeamLimits
+from chalkgrade.sharing.isolation import JobIsolation
 from chalkgrade.sharing.queues import Queues
 from chalkgrade.vectors import ZERO, Vector, fits, minus, plus
 
@@ -63,6 +64,7 @@
         reservations: SlotReservations,
         startable_rooms: Collection[Vector],
         preempt: bool,
+        isolation: JobIsolation,
     ) -> None:
         self.snapshot = snapshot
         self.queues = queues
@@ -72,6 +74,7 @@
         self.reservations = reservations
         self.startable_rooms = startable_rooms  # resource requests of all tasks that may start
         self.preempt = preempt  # whether running tasks may be stopped in this round
+        self.isolation = isolation
         self.preempted_count = 0
         self.within_guarantee = False  # the round places what guarantees cover
         self.victim_filter = VictimFilter.ALL
@@ -248,7 +251,7 @@
         `needed` returns how many of a job's tasks must run now.
         """
         late_jobs: list[tuple[Job, int]] = []
-        for job in jobs:
+        for job in self.isolation.each(jobs):
             if (
                 self.preempt
                 and self.queues.clock.wall() - job.eligible_at > constants.MIN_PREEMPTION_WAIT_S
--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -35,6 +35,7 @@
     ZoneConstraints,
 )
 from chalkgrade.sharing.demands import DemandCalculator
+from chalkgrade.sharing.isolation import JobIsolation
 from chalkgrade.sharing.largest_jobs import overdue_largest_jobs
 from chalkgrade.sharing.preemption import Preemptor
 from chalkgrade.sharing.queues import Queues
@@ -56,7 +57,7 @@
     """Places the waiting tasks that can be placed now.
 
     `constraints` are the start constraints of other subsystems, and `preempt` says whether the
-    round may stop running tasks.
+    round may stop running tasks. `isolation` is told which job is being handled.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         clock: Clock,
         preempt: bool = True,
         constraints: Sequence[StartConstraint] = (),
+        isolation: JobIsolation | None = None,
     ) -> None:
         self.jobs = jobs
         self.fleet = fleet
@@ -87,6 +89,7 @@
         self.constraints = ConstraintSet(
             [JobBackoff(), *constraints, self.team_limits, self.zone_constraints, self.reservations]
         )
+        self.isolation = isolation or JobIsolation(clock)
         self.queue_usage: dict[str, Vector] = defaultdict(lambda: ZERO)
         self.waits_for_images = True  # jobs may wait for machines that hold their image
         self._pickers: dict[object, SlotPicker] = {}
@@ -97,7 +100,7 @@
         """Place what can be placed; return the number of new attempts."""
         ready: dict[str, list[Job]] = defaultdict(list)
         self.constraints.begin_round(self.jobs.values(), self.now)
-        for job in self.jobs.values():
+        for job in self.isolation.each(self.jobs.values()):
             if job.live:
                 job_usage = tuple(a * len(job.live) for a in job.spec.resources)
                 self.queue_usage[job.round_queue] = plus(
@@ -123,6 +126,7 @@
             self.reservations,
             rooms,
             self.preempt,
+            self.isolation,
         )
         placed = self._place_ready_jobs(ready)
         self.preempted_count = self.preemptor.preempted_count
@@ -138,10 +142,11 @@
             self.queue_usage,
             self.lowest_urgency,
             self.constraints,
+            self.isolation,
         )
         placed = self._place_preassigned()
-        for jobs in ready.values():
-            jobs.sort(key=self.queues.scheduling_key)
+        for queue, jobs in ready.items():
+            ready[queue] = self.isolation.sort(jobs, self.queues.scheduling_key)
         placed += self._place_guaranteed(ready)
         demands = self.demand_calculator.by_queue(ready)
         self.placing_starved = True
@@ -160,7 +165,7 @@
                     placed += self._place_within_budget(ready[queue], budget, not local, local)[0]
         needed_jobs = [job for queue, _ in needed_grants for job in ready[queue]]
         self.preemptor.preempt_checkpointed(
-            sorted(needed_jobs, key=self.queues.scheduling_key),
+            self.isolation.sort(needed_jobs, self.queues.scheduling_key),
             self.demand_calculator.tasks_needed_now,
         )
         for queue, grant in other_grants:
@@ -229,7 +234,7 @@
         chosen = [job for job in within if job.name in names]
         # Sort across teams, so that an urgent job does not lose a machine to another team's batch
         # job.
-        chosen.sort(key=self.queues.scheduling_key)
+        chosen = self.isolation.sort(chosen, self.queues.scheduling_key)
         self.preemptor.within_guarantee = True
         placed = self._place_preferring_local(chosen, None, reserve=True)
         self.preemptor.reclaim_borrowed(chosen)
@@ -258,7 +263,11 @@
         placed, total_granted = 0, ZERO
         most = tuple(constants.STARVATION_CAPACITY_RATIO * a for a in capacity)
         fair = fair_shares(demands.values(), self.teams, capacity)
-        overdue_by_queue = overdue_largest_jobs(self.jobs.values(), wall, self.queues.slack_s)
+        overdue_by_queue = overdue_largest_jobs(
+            self.isolation.each(filter(self.isolation.is_ready, self.jobs.values())),
+            wall,
+            self.queues.slack_s,
+        )
         served = []
         for queue in sorted(starved, key=oldest.__getitem__):
             half = round_up_to_tasks(tuple(a / 2 for a in fair[queue]), demands[queue].task)
@@ -313,7 +322,7 @@
 
         A job whose tasks take nothing needs no room, and must not be the one in place of others.
         """
-        for job in jobs:
+        for job in self.isolation.each(jobs):
             resources = job.spec.resources
             if job.startable_count and not is_nothing(resources) and fits(resources, left):
                 count = count_fitting(resources, left, TASKS_MAX)
@@ -356,7 +365,7 @@
         that prefer it are placed only on machines that hold their image.
         """
         placed = 0
-        for job in jobs:
+        for job in self.isolation.each(jobs):
             spec = job.spec
             if budget is not None and not fits(spec.resources, budget):
                 continue
@@ -472,11 +481,11 @@
         """Create an attempt for a task on a slot; the caller has occupied the slot for it."""
         attempt = job.place(index, slot.name, number)
         attempt.placed_at = self.now
+        self.fleet.attach_attempt(attempt)  # first: an attempt on record needs its machine
         attempt.is_starvation_guarded = self.placing_starved
         if log.isEnabledFor(logging.DEBUG):
             what = decision_fields(self.fleet.token, job.name, slot.name, attempt.label)
             log.debug("attempt placed: %s on %s", attempt.label, slot.name, extra=what)
-        self.fleet.attach_attempt(attempt)
         self.fleet.machines[slot.name].busy_at = self.now
         self.queue_usage[job.round_queue] = plus(
             self.queue_usage[job.round_queue], job.spec.resources
--- a/src/chalkgrade/sharing/term_context.py
+++ b/src/chalkgrade/sharing/term_context.py
@@ -6,6 +6,7 @@
 from chalkgrade.machines.flavors import Flavor
 from chalkgrade.machines.fleet import Fleet
 from chalkgrade.record.registry import JobRegistry
+from chalkgrade.sharing.isolation import JobIsolation
 from chalkgrade.sharing.queues import Queues
 from chalkgrade.state.leader_context import LeaderContext
 
@@ -14,7 +15,8 @@
 class TermContext:
     """A leader's jobs, machines, queues and machine types during one term.
 
-    `is_serving` returns whether the leader may make decisions now.
+    `is_serving` returns whether the leader may make decisions now. `isolation` leaves out jobs
+    whose handling raised an error.
     """
 
     context: LeaderContext
@@ -23,3 +25,4 @@
     queues: Queues
     flavors: dict[str, Flavor]
     is_serving: Callable[[], bool]
+    isolation: JobIsolation
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -103,7 +103,13 @@
         queue_usage = {second.queue: (held, 0.0, 2 * held)}
         teams = term.scheduling.teams
         demands = DemandCalculator(
-            term.queues, teams, snapshot, queue_usage, second.spec.urgency_rank, ConstraintSet([])
+            term.queues,
+            teams,
+            snapshot,
+            queue_usage,
+            second.spec.urgency_rank,
+            ConstraintSet([]),
+            term.scheduling.isolation,
         )
         demand = demands.by_queue({second.queue: [second]})[second.queue]
         missing = min(
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -6,7 +6,9 @@
 
 from chalkgrade import constants
 from chalkgrade.machines.placement import Slot
+from chalkgrade.region.loop import ManualClock
 from chalkgrade.sharing.constraints import SlotReservations
+from chalkgrade.sharing.isolation import JobIsolation
 from chalkgrade.sharing.largest_jobs import overdue_largest_jobs
 from chalkgrade.sharing.preemption import Preemptor
 
@@ -86,7 +88,9 @@
     team_limits = SimpleNamespace(teams={})
     rooms = [(1.0, 0.0, 2.0), resources]
     parts: Any = (snapshot, None, gates, team_limits, SlotReservations(), rooms, True)
-    Preemptor(*parts).reserve_for_starved(_job("w-1", 4, resources=resources), 1)
+    Preemptor(*parts, JobIsolation(ManualClock())).reserve_for_starved(
+        _job("w-1", 4, resources=resources), 1
+    )
     return [slot.name for slot in slots if slot.reserved_for]
 
 
--- a/tests/test_odd_amounts.py
+++ b/tests/test_odd_amounts.py
@@ -8,12 +8,14 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 from msgspec import structs
 
+from chalkgrade import constants
 from chalkgrade.machines.flavors import Flavor, tasks_per_machine
 from chalkgrade.machines.fleet import Machine, TaskReport
 from chalkgrade.outside import Reply, encode
@@ -23,9 +25,13 @@
 from chalkgrade.region.world import World, tell
 from chalkgrade.renting.cloud import CloudClient
 from chalkgrade.renting.headroom import CapacityTimeline, Headroom
-from chalkgrade.renting.plan import RentalNeed, plan_rentals
+from chalkgrade.renting.plan import RentalNeed, RentalPlan, plan_rentals
 from chalkgrade.settings import Team
 from chalkgrade.sharing.constraints import TeamLimits
+from chalkgrade.sharing.demands import DemandCalculator
+from chalkgrade.sharing.isolation import REASON_SET_ASIDE, JobIsolation
+from chalkgrade.sharing.preemption import Preemptor
+from chalkgrade.sharing.queues import Queues
 from chalkgrade.vectors import EPS, count_fitting
 from test_membership import _acting_leader, _wait_until
 
@@ -33,6 +39,7 @@
 Log = pytest.LogCaptureFixture
 LEAST = 5e-324  # the smallest positive number
 ODD_AMOUNTS = (0.0, LEAST, 1e-12, EPS, 2 * EPS, 0.04, 1.0)
+FAULTY = "run-000666"
 
 
 class ThreeZones(World):
@@ -86,6 +93,90 @@
     assert "loop failed" not in caplog.text and "set aside" not in caplog.text
 
 
+# -- an error about one job, wherever it occurs ------------------------------------------------
+
+
+def _raises_for(patch: Patch, owner: type, name: str, job_of: Callable[..., str]) -> list[bool]:
+    """Makes a method raise for the faulty job; the list's element says whether it does."""
+    plain, active = getattr(owner, name), [True]
+
+    def method(self: Any, *args: Any, **more: Any) -> Any:
+        if active[0] and job_of(*args) == FAULTY:
+            raise ZeroDivisionError("a fault of the program")
+        return plain(self, *args, **more)
+
+    patch.setattr(owner, name, method)
+    return active
+
+
+def _job_name(job: Job, *_: Any) -> str:
+    return job.name
+
+
+FAULTS: list[tuple[type, str, Callable[..., str]]] = [
+    (Queues, "scheduling_key", _job_name),
+    (Queues, "slack_s", _job_name),
+    (Queues, "is_best_effort", _job_name),
+    (DemandCalculator, "tasks_needed_now", _job_name),
+    (Preemptor, "reserve_for_starved", _job_name),
+    (TeamLimits, "max_starts", _job_name),
+    (RentalPlan, "add", lambda need: need.spec.nameId),
+]
+
+
+@pytest.mark.parametrize(("owner", "name", "job_of"), FAULTS)
+def test_an_error_about_one_job_leaves_the_others_alone(
+    owner: type, name: str, job_of: Callable[..., str], monkeypatch: Patch, caplog: Log
+) -> None:
+    """Guards against a loop that is restarted for ever on the job that made it fail."""
+    active = _raises_for(monkeypatch, owner, name, job_of)
+
+    async def story(world: World) -> None:
+        # Its zone has no machine, so that it waits long enough for the protection of starved work.
+        faulty = _plain(world, 666, site="c", vcpus=4.0, memoryGb=8.0)
+        world.spawn(world.user(faulty, None))
+        await _wait_until(world, 60.0, lambda: world.now > 1004.0 + 35.0)
+        jobs = [_plain(world, n, owner=("blue", "red", "green")[n % 3]) for n in range(1, 10)]
+        await _submit_and_finish(world, jobs, 90.0)
+        node = _acting_leader(world)
+        assert node is not None and node.term is not None
+        figures = {sample.name: sample for sample in node.term.samples()}
+        assert "jobs_set_aside" in figures
+        assert node.term.scheduling.isolation.error_count > 0
+        active[0] = False
+        world.cloud.free_machines[("small", "c", True)] = 2
+        await _wait_until(world, 150.0, lambda: world.completed(FAULTY))
+
+    with caplog.at_level(logging.WARNING):
+        tell(story, kind=ThreeZones)
+    assert f"{FAULTY}: an error occurred" in caplog.text
+    assert "loop failed" not in caplog.text
+
+
+def test_many_faulty_jobs_are_all_set_aside(monkeypatch: Patch) -> None:
+    """Guards against a bound on faulty jobs beyond which the others are stopped after all."""
+    plain = Queues.scheduling_key
+
+    def scheduling_key(self: Queues, job: Job) -> tuple[float, ...]:
+        if job.spec.jobclass == "broken":
+            raise KeyError(job.name)
+        return plain(self, job)
+
+    monkeypatch.setattr(Queues, "scheduling_key", scheduling_key)
+
+    async def story(world: World) -> None:
+        broken = 3 * constants.MAX_JOBS_SET_ASIDE_AT_ONCE
+        for number in range(100, 100 + broken):
+            world.spawn(world.user(_plain(world, number, jobclass="broken"), None))
+        await _wait_until(world, 30.0, lambda: len(world.jobs) == broken)
+        await _submit_and_finish(world, [_plain(world, n, owner="red") for n in range(1, 6)], 60.0)
+        assert "broken" not in {task.spec["jobclass"] for _, task in world.present()}
+        why = world.waiting_reason("broken")
+        assert REASON_SET_ASIDE in why
+
+    tell(story, kind=ThreeZones)
+
+
 def _job(name: str = "run-000001", tasks: int = 5, **changes: Any) -> Job:
     spec = JobSpec(
         name, "sums", "blue", "batch", "high", tasks, 1.0, 0.0, 1.0, "img", 0.0,
@@ -94,6 +185,50 @@
     return Job(JobValue(structs.replace(spec, **changes), 0.0), 0, OpLog(1 << 20))
 
 
+def test_a_set_aside_job_is_tried_again_after_growing_pauses() -> None:
+    """Guards against a job that is never tried again, and against one that fails each round."""
+    clock = ManualClock()
+    isolation, jobs = JobIsolation(clock), [_job("a-1"), _job("a-2"), _job("a-3")]
+    pauses: list[float] = []
+
+    def decide() -> list[str]:
+        handled = []
+        for job in isolation.each(filter(isolation.is_ready, jobs)):
+            if job.name == "a-2":
+                raise ValueError(job.name)
+            handled.append(job.name)
+        return handled
+
+    for _ in range(8):
+        assert isolation.run(decide) == ["a-1", "a-3"]
+        assert isolation.max_demand(jobs[1], 5) == 0 and isolation.max_demand(jobs[0], 5) == 5
+        began = clock.now()
+        while isolation.is_set_aside(jobs[1]):
+            clock.at += 1.0
+        pauses.append(clock.now() - began)
+    assert pauses == sorted(pauses) and pauses[0] == constants.MIN_JOB_BACKOFF_S
+    assert pauses[-1] == constants.MAX_JOB_BACKOFF_S
+    isolation.begin_round([jobs[0]], clock.now())
+    assert isolation.set_aside_count() == 0
+
+
+def test_an_error_that_belongs_to_no_job_is_not_hidden() -> None:
+    """Guards against an isolation that swallows errors of the program itself."""
+    isolation, jobs = JobIsolation(ManualClock()), [_job("a-1")]
+
+    def decide() -> None:
+        for _ in isolation.each(jobs):
+            pass
+        raise ValueError("of the round, not of a job")
+
+    with pytest.raises(ValueError, match="of the round"):
+        isolation.run(decide)
+    assert isolation.error_count == 0 and isolation.is_ready(jobs[0])
+
+
+# -- amounts of zero and nearly zero ----------------------------------------------------------
+
+
 @pytest.mark.parametrize("amount", ODD_AMOUNTS)
 def test_any_amount_can_be_counted(amount: float) -> None:
     """Guards against divisions by nothing, and by so little that the result is infinite."""
--- a/tests/test_team_at_its_maximum.py
+++ b/tests/test_team_at_its_maximum.py
@@ -178,7 +178,7 @@
     snapshot: Any = _CountingSnapshot(occupants)
     maxima: Any = SimpleNamespace(teams={})
     nothing: Any = None
-    preemptor = Preemptor(snapshot, nothing, nothing, maxima, nothing, [], True)
+    preemptor = Preemptor(snapshot, nothing, nothing, maxima, nothing, [], True, nothing)
     for within_s in [0.0, *(rng.uniform(0.0, 70.0) for _ in range(100))]:
         for owner in ("red", "blue", "green"):
             ends = [
