The protection of starved queues has a module of its own

Change: sharing/starvation.py has these three methods as they were, with the round as a protocol of the two methods that they call. No behaviour changes.

--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -17,13 +17,10 @@
 from chalkgrade.machines.message_size import machine_demand
 from chalkgrade.machines.placement import Slot, SlotPicker, choose_gang_slots, occupy_slot
 from chalkgrade.outside import Clock
-from chalkgrade.record.jobs import TASKS_MAX, Job
+from chalkgrade.record.jobs import Job
 from chalkgrade.settings import Team
 from chalkgrade.sharing.bopf import (
-    QueueDemand,
     allocate,
-    fair_shares,
-    round_up_to_tasks,
     spare_capacity_order,
 )
 from chalkgrade.sharing.cluster_snapshot import ClusterSnapshot
@@ -36,16 +33,14 @@
 )
 from chalkgrade.sharing.demands import DemandCalculator
 from chalkgrade.sharing.isolation import JobIsolation
-from chalkgrade.sharing.largest_jobs import overdue_largest_jobs
 from chalkgrade.sharing.preemption import Preemptor
 from chalkgrade.sharing.queues import Queues
+from chalkgrade.sharing.starvation import StarvationGuard
 from chalkgrade.vectors import (
     ZERO,
     Vector,
-    count_fitting,
     dominant_share,
     fits,
-    is_nothing,
     minus,
     plus,
 )
@@ -150,7 +145,10 @@
         placed += self._place_guaranteed(ready)
         demands = self.demand_calculator.by_queue(ready)
         self.placing_starved = True
-        placed += self._place_starved(ready, demands, capacity)
+        starvation = StarvationGuard(
+            self, self.queues, self.teams, self.constraints, self.preemptor, self.isolation
+        )
+        placed += starvation.place_starved(ready, demands, self.jobs.values(), capacity)
         self.placing_starved = False
         needed_grants, other_grants = allocate(list(demands.values()), capacity)
         for _, group in itertools.groupby(
@@ -162,7 +160,7 @@
             for local in (True, False):
                 for queue, grant in same_urgency:
                     budget = minus(grant, self.queue_usage[queue])
-                    placed += self._place_within_budget(ready[queue], budget, not local, local)[0]
+                    placed += self.place_within_budget(ready[queue], budget, not local, local)[0]
         needed_jobs = [job for queue, _ in needed_grants for job in ready[queue]]
         self.preemptor.preempt_checkpointed(
             self.isolation.sort(needed_jobs, self.queues.scheduling_key),
@@ -170,7 +168,7 @@
         )
         for queue, grant in other_grants:
             budget = minus(grant, self.queue_usage[queue])
-            placed += self._place_preferring_local(ready[queue], budget, reserve=True)
+            placed += self.place_preferring_local(ready[queue], budget, reserve=True)
         order = spare_capacity_order(
             demands.values(), lambda d: dominant_share(self.queue_usage[d.queue], capacity)
         )
@@ -182,16 +180,16 @@
             # its bounds would never find two free CPUs on one machine, because the small tasks
             # after it take each of them.
             same_urgency_jobs = [job for queue in names for job in ready[queue]]
-            placed += self._place_preferring_local(
+            placed += self.place_preferring_local(
                 same_urgency_jobs, None, reserve=urgency > self.lowest_urgency
             )
         # The remaining resources would idle, so that fetching images there delays no other job.
         self.waits_for_images = False
         for queue in order:
-            placed += self._place_within_budget(ready[queue], None, False)[0]
+            placed += self.place_within_budget(ready[queue], None, False)[0]
         return placed
 
-    def _place_preferring_local(self, jobs: list[Job], budget: Vector | None, reserve: bool) -> int:
+    def place_preferring_local(self, jobs: list[Job], budget: Vector | None, reserve: bool) -> int:
         """Place jobs, first on machines that hold their images; return the number of attempts.
 
         A fetch can take as long as a run, and the CPU idles meanwhile. The preference applies
@@ -201,7 +199,7 @@
         for _, group in itertools.groupby(jobs, key=lambda job: job.spec.urgency_rank):
             same_urgency_jobs = list(group)
             for local in (True, False):
-                count, budget = self._place_within_budget(
+                count, budget = self.place_within_budget(
                     same_urgency_jobs, budget, reserve and not local, local
                 )
                 placed += count
@@ -236,99 +234,11 @@
         # job.
         chosen = self.isolation.sort(chosen, self.queues.scheduling_key)
         self.preemptor.within_guarantee = True
-        placed = self._place_preferring_local(chosen, None, reserve=True)
+        placed = self.place_preferring_local(chosen, None, reserve=True)
         self.preemptor.reclaim_borrowed(chosen)
         self.preemptor.within_guarantee = False
         return placed
 
-    def _place_starved(
-        self, ready: dict[str, list[Job]], demands: dict[str, QueueDemand], capacity: Vector
-    ) -> int:
-        """Give queues that have waited too long half of their fair share, whatever the urgency.
-
-        Step 6 is fair over the long term, but what precedes it may last: thousands of urgent
-        tasks, or narrow tasks that take each CPU before a whole machine is free. The wait is
-        measured from the submission of the queue's oldest job, which is durable, so that it
-        survives a change of leader. Nothing is preempted for it, but what becomes free is
-        reserved.
-        """
-        wall = self.queues.clock.wall()
-        oldest = {
-            queue: min((j.eligible_at for j in jobs if j.startable_count), default=wall)
-            for queue, jobs in ready.items()
-        }
-        starved = [queue for queue, at in oldest.items() if wall - at > constants.STARVATION_WAIT_S]
-        if not starved:
-            return 0
-        placed, total_granted = 0, ZERO
-        most = tuple(constants.STARVATION_CAPACITY_RATIO * a for a in capacity)
-        fair = fair_shares(demands.values(), self.teams, capacity)
-        overdue_by_queue = overdue_largest_jobs(
-            self.isolation.each(filter(self.isolation.is_ready, self.jobs.values())),
-            wall,
-            self.queues.slack_s,
-        )
-        served = []
-        for queue in sorted(starved, key=oldest.__getitem__):
-            half = round_up_to_tasks(tuple(a / 2 for a in fair[queue]), demands[queue].task)
-            held = dominant_share(self.queue_usage[queue], capacity)
-            if held > constants.STARVATION_ALLOCATION_RATIO * dominant_share(half, capacity):
-                served.append(queue)
-                continue
-            total_granted = plus(total_granted, half)
-            if not fits(total_granted, most):
-                break
-            if overdue_by_queue[queue]:
-                placed += self._place_largest_jobs(overdue_by_queue[queue], half)
-            left = minus(half, self.queue_usage[queue])
-            placed += self._place_preferring_local(ready[queue], left, False)
-            self._reserve_for_wide_job(ready[queue], minus(half, self.queue_usage[queue]))
-        for queue in served:
-            # These queues hold their share already; only its use changes, in favour of their
-            # largest jobs. Queues that lack their share come before them.
-            if overdue_by_queue[queue]:
-                placed += self._place_largest_jobs(overdue_by_queue[queue], self.queue_usage[queue])
-        return placed
-
-    def _place_largest_jobs(self, jobs: list[Job], room: Vector) -> int:
-        """Place a queue's largest jobs, the longest-waiting one until it is done, then the next.
-
-        `room` is the queue's share, or what it holds. Together the largest jobs hold at most
-        `LARGEST_SHARE` of it, but at least one task, or one gang. The part grows to all tasks of
-        the first job as far as `LARGEST_LIMIT` of the share holds them: in two waves the job would
-        take twice as long, and most of the part would be unused during the second.
-        """
-        waiting = [job for job in jobs if self.constraints.is_ready(job)]
-        if not waiting:
-            return 0
-        first, spec = waiting[0], waiting[0].spec
-        whole = tuple(a * (spec.tasks if spec.shape == "gang" else 1) for a in spec.resources)
-        at_once = tuple(a * (first.startable_count + len(first.live)) for a in spec.resources)
-        most = tuple(constants.LARGEST_LIMIT * a for a in room)
-        share = tuple(constants.LARGEST_SHARE * a for a in room)
-        part = tuple(map(max, share, map(min, at_once, most), whole))
-        held = ZERO
-        for job in jobs:
-            held = plus(held, tuple(a * len(job.live) for a in job.spec.resources))
-        left = minus(part, held)
-        placed, left_over = self._place_within_budget(waiting, left, False, True)
-        more, left_over = self._place_within_budget(waiting, left_over, False)
-        if left_over is not None:
-            self._reserve_for_wide_job(waiting, left_over)
-        return placed + more
-
-    def _reserve_for_wide_job(self, jobs: list[Job], left: Vector) -> None:
-        """Reserve machines for the first job that fits what is left of its queue's share.
-
-        A job whose tasks take nothing needs no room, and must not be the one in place of others.
-        """
-        for job in self.isolation.each(jobs):
-            resources = job.spec.resources
-            if job.startable_count and not is_nothing(resources) and fits(resources, left):
-                count = count_fitting(resources, left, TASKS_MAX)
-                self.preemptor.reserve_for_starved(job, count)
-                return
-
     def _place_preassigned(self) -> int:
         """Place tasks for which a constraint chose a machine, if the other constraints allow it."""
         wanted, placed = self.constraints.priority_starts(), 0
@@ -352,7 +262,7 @@
 
     # -- placement --------------------------------------------------------------------
 
-    def _place_within_budget(
+    def place_within_budget(
         self,
         jobs: list[Job],
         budget: Vector | None,
@@ -389,7 +299,7 @@
     def _place_tasks(
         self, job: Job, budget: Vector | None, reserve: bool, prefer_local: bool
     ) -> tuple[int, Vector | None]:
-        """Place a job's tasks one by one until a resource is short, as `_place_within_budget`."""
+        """Place a job's tasks one by one until a resource is short, as `place_within_budget`."""
         spec, placed = job.spec, 0
         picker: SlotPicker | None = None
         skip = self.snapshot.unknown_tasks.get(job.name, set())
