A stored record that can't be read concerns its job alone

What callers saw: nothing yet. One record of a job, or of a subsystem, that a controller can't read (as after a return from a later version) kept every leader in a loop of reading the whole record: nobody was served any more.

Cause: the record was read as a whole, and an error in any part started the reading again with the same input.

A job whose record or page can't be read is set aside for the term: neither started, nor removed, nor told as unknown; its records and log entries stay for a leader that can read them. A subsystem's value starts anew. A segment of the log can't be left out, since any job may have attempts in it; its key is logged.

--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -27,6 +27,7 @@
 from chalkgrade.record import dependency_lists
 from chalkgrade.record.in_flight import JobStatusReport
 from chalkgrade.record.jobs import JOB_PREFIX, Attempt, Job, JobSpec, JobValue
+from chalkgrade.record.loading import RecordLoader
 from chalkgrade.record.registry import JobRegistry
 from chalkgrade.record.writer import Writer
 from chalkgrade.renting.cloud import CloudClient
@@ -184,7 +185,7 @@
 
     async def _load(self) -> None:
         self.fleet.machines.clear()
-        for attempt in await self.registry.load():
+        for attempt in await RecordLoader(self.registry).load():
             if attempt.job.aborted:
                 attempt.kill_requested_at = self.clock.now()
             self.fleet.attach_attempt(attempt)
@@ -215,6 +216,8 @@
         """
         if not self.is_serving():
             raise Unavailable
+        if name in self.registry.unreadable:
+            raise Unavailable
         job = self.jobs.get(name)
         keys = self.writer.in_flight.keys_of(name)
         if job is not None and job.aborted:
@@ -229,8 +232,9 @@
         return JobStatusReport(None, keys)
 
     def has_job(self, name: str) -> bool:
-        """Returns whether the term has a record of the job, live or over."""
-        return name in self.jobs or name in self.registry.over
+        """Returns whether the term has a record of the job, live, over or unreadable."""
+        registry = self.registry
+        return name in registry.jobs or name in registry.over or name in registry.unreadable
 
     async def submit(self, spec: JobSpec) -> bool:
         """Accepts a job, committed in a batch with others; False if it is already known.
@@ -263,6 +267,8 @@
                 or not self.is_serving()
             ):
                 raise Unavailable
+        if name in self.registry.unreadable:
+            raise Unavailable
         job = self.jobs.get(name)
         if job is None:
             return self.registry.over.get(name)
@@ -367,5 +373,7 @@
         for component in self.components:
             yield from component.samples()
         unwritable = len(self.writer.unwritable_sizes)
+        unreadable = len(self.registry.unreadable)
+        yield gauge("unreadable_jobs", "Jobs left out as a record can't be read", unreadable)
         yield gauge("unwritable_values", "Values over the state service's limit", unwritable)
         yield labelled_sample("attempts", "Ended attempts by cause", "cause", self.ended_by_cause)
--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -143,6 +143,29 @@
     jobs: list[JobValue]
 
 
+class RawBatchValue(msgspec.Struct):
+    """The value under cg/in/ with its records as they are stored."""
+
+    jobs: list[msgspec.Raw]
+
+
+class NamedSpec(msgspec.Struct):
+    """The name in a submission whose other fields may be unreadable."""
+
+    nameId: str
+
+
+class NamedRecord(msgspec.Struct):
+    """The name in a job's record whose other fields may be unreadable."""
+
+    spec: NamedSpec
+
+
+def page_number(index: int) -> int:
+    """Return the number of the page that holds a task."""
+    return index // constants.TASKS_PER_PAGE
+
+
 class EndValue(msgspec.Struct):
     """The value under cg/end/."""
 
--- a/src/chalkgrade/record/registry.py
+++ b/src/chalkgrade/record/registry.py
@@ -14,7 +14,7 @@
 
 from chalkgrade import constants
 from chalkgrade.logs import decision_fields
-from chalkgrade.outside import NoAnswer, Signal, encode
+from chalkgrade.outside import NoAnswer, Signal
 from chalkgrade.record import dependency_lists
 from chalkgrade.record.changes import (
     Admission,
@@ -31,15 +31,11 @@
     BATCH_PREFIX,
     END_PREFIX,
     JOB_PREFIX,
-    TASK_PREFIX,
-    Attempt,
-    BatchValue,
     Job,
     JobValue,
     Page,
-    PageValue,
 )
-from chalkgrade.record.oplog import LOG_PREFIX, LogFlush, OpLog, PageName, SegmentValue
+from chalkgrade.record.oplog import LogFlush, OpLog, PageName
 from chalkgrade.state.client import Compacted, NotExecuted
 from chalkgrade.state.leader_context import LeaderContext
 
@@ -69,6 +65,8 @@
         self.on_job_added = on_job  # called with each added job; True: just submitted
         self.jobs: dict[str, Job] = {}
         self.over = RecentEnds()  # jobs whose end is durable
+        # Jobs with a record or page that can't be read: neither scheduled nor removed.
+        self.unreadable: set[str] = set()
         # Callbacks for jobs whose end or abort is durable.
         self.on_job_ended: Callable[[Job, str], None] = lambda job, status: None
         self.on_job_aborted: Callable[[Job], None] = lambda job: None
@@ -89,83 +87,28 @@
 
     # -- reading ------------------------------------------------------------------
 
-    async def load(self) -> list[Attempt]:
-        """Read the whole record; returns the attempts that may be present on machines.
-
-        No other leader can change the record meanwhile: older tokens are fenced.
-        """
-        self.jobs.clear()
-        self.aborting.clear()
-        self.ending.clear()
-        self.oplog = OpLog(self.limits.max_value_bytes)
-        persisted_rows = await asyncio.gather(
-            *(self.ledger.get(persisted.key) for persisted in self.persisted_values)
-        )
-        for persisted, row in zip(self.persisted_values, persisted_rows, strict=True):
-            if row is not None:
-                persisted.load(row.v)
-                persisted.stamp = row.stamp
-        rows, self.revision = await self.ledger.scan(JOB_PREFIX)
-        for row in rows:
-            await self._load_record(row.v, row.stamp, observe=False)
-        self.batches.clear()
-        rows, _ = await self.ledger.scan(BATCH_PREFIX)
-        for row in rows:
-            batch = self.batches[row.k] = Batch(row.k, row.stamp)
-            values = msgspec.json.decode(row.v, type=BatchValue).jobs
-            batch.mark_saved({value.spec.nameId: encode(value) for value in values}, row.stamp)
-            batch.ended_jobs |= await self._ended_jobs_in(batch, len(row.v))
-            for value in values:
-                if value.spec.nameId not in batch.ended_jobs:
-                    value = await dependency_lists.with_dependencies(self.ledger, value)
-                    self.add(value, 0, observe=False, batch=batch)
-        rows, _ = await self.ledger.scan(TASK_PREFIX)
-        self.orphan_keys.clear()
-        for row in rows:
-            name, _, number = row.k.removeprefix(TASK_PREFIX).rpartition("/")
-            job = self.jobs.get(name)
-            if job is None:
-                self.orphan_keys.append(row.k)
-                continue
-            job.load_page(int(number), msgspec.json.decode(row.v, type=PageValue), row.stamp)
-        rows, _ = await self.ledger.scan(LOG_PREFIX)
-        segments = [(r.k, r.stamp, msgspec.json.decode(r.v, type=SegmentValue)) for r in rows]
-        for lsn, segment, entry in self.oplog.load(segments):
-            for name, ops in entry.jobs:
-                job = self.jobs.get(name)
-                if job is None:
-                    continue
-                segment.needed_pages |= {(name, page) for page in job.replay(lsn, ops)}
-                for _, _, event in ops:
-                    if isinstance(event, str):
-                        self.image_hints.setdefault(event, {})[job.spec.bundle] = job.spec.pullGb
-        # A page can be newer than all remaining segments.
-        pages = [page for job in self.jobs.values() for page in job.pages.values()]
-        self.oplog.lsn = max([self.oplog.lsn, *(page.durable_lsn for page in pages)])
-        self.oplog.release_pages(set())
-        for job in self.jobs.values():
-            self.update_ending(job)
-        self.flush_wanted.set()
-        return [attempt for job in self.jobs.values() for attempt in job.live.values()]
-
-    async def _load_record(self, raw: bytes, stamp: int, observe: bool) -> None:
-        value = msgspec.json.decode(raw, type=JobValue)
+    def set_aside(self, name: str, key: str, error: Exception) -> None:
+        """Leave out a job whose record under `key` can't be read; its records stay."""
+        log.error("job set aside: %s: %s can't be read: %s", name, key, error)
+        self.unreadable.add(name)
+
+    async def load_record(self, key: str, raw: bytes, stamp: int, observe: bool) -> None:
+        """Add the job of an own record; `observe` is True if it was submitted just now."""
+        name = key.removeprefix(JOB_PREFIX)
+        if name in self.unreadable:
+            return  # its pages were not read: only a new term may take it up
+        try:
+            value = msgspec.json.decode(raw, type=JobValue)
+        except msgspec.DecodeError as error:
+            if name not in self.jobs:
+                self.set_aside(name, key, error)
+            return
         # The dependency list of a job that is over may be removed already.
         if value.spec.nameId not in self.over:
             self.add(
                 await dependency_lists.with_dependencies(self.ledger, value), stamp, observe=observe
             )
 
-    async def _ended_jobs_in(self, batch: Batch, stored_b: int) -> set[str]:
-        """Return the jobs that are over although the batch still holds their records.
-
-        That occurs only in a batch that was too large to be rewritten: see `_end_change`.
-        """
-        if stored_b <= self.limits.max_value_bytes:
-            return set()
-        found = await self.ledger.existing_keys([END_PREFIX + name for name in batch.records])
-        return {key.removeprefix(END_PREFIX) for key in found}
-
     def add(self, value: JobValue, stamp: int, observe: bool, batch: Batch | None = None) -> None:
         """Add a job that some node has accepted, or update the one that is known.
 
@@ -204,7 +147,7 @@
                 )
                 for change in changes.log:
                     if change.write is not None:
-                        await self._load_record(change.v, change.stamp, observe=True)
+                        await self.load_record(change.write, change.v, change.stamp, observe=True)
             except Compacted:
                 self.revision = 0
             except (NoAnswer, NotExecuted) as error:
@@ -217,7 +160,7 @@
                 try:
                     rows, revision = await self.ledger.scan(JOB_PREFIX)
                     for row in rows:
-                        await self._load_record(row.v, row.stamp, observe=True)
+                        await self.load_record(row.k, row.v, row.stamp, observe=True)
                     self.revision = revision
                 except (NoAnswer, NotExecuted):
                     await asyncio.sleep(constants.STATE_RETRY_INTERVAL_S)
@@ -232,7 +175,7 @@
         up. Raises NoAnswer after `timeout` seconds; the job may then be accepted or not.
         """
         name = value.spec.nameId
-        if name in self.jobs or name in self.over:
+        if name in self.jobs or name in self.over or name in self.unreadable:
             return False  # includes one with an open commit here and a record of its own
         earlier_admission = admission = self.admissions.get(name)
         if admission is None:
@@ -351,6 +294,8 @@
             lsn, has_long_page = self.oplog.lsn if flush is None else flush.lsn, False
             for name, number in list(dict.fromkeys(self.oplog.stale_pages())):
                 owner = self.jobs.get(name)
+                if name in self.unreadable:
+                    continue  # its log entries are all that is known of its tasks
                 if owner is None:
                     # The job's last operations were written after its end, because more were
                     # pending than one value holds. They are not needed.
