--- a/src/chalkgrade/leading/failures.py
+++ b/src/chalkgrade/leading/failures.py
@@ -2,12 +2,12 @@
 
 import logging
 
-from chalkgrade import constants
 from chalkgrade.extensions.components import Component
 from chalkgrade.logs import decision_fields
 from chalkgrade.machines.fleet import Machine
 from chalkgrade.outside import Clock
 from chalkgrade.record.jobs import Attempt
+from chalkgrade.sharing.constraints import job_backoff_s
 
 log = logging.getLogger("chalkgrade.faults")
 
@@ -34,10 +34,8 @@
             if job.is_faulty or cause == "unknown":
                 # Tasks that already ran can all fail at the same moment, which counts as one
                 # failure. Probes run one at a time, so each failed probe doubles the delay.
-                doublings = job.failed_probes if not job.live else 0
-                doublings = min(constants.MAX_BACKOFF_DOUBLINGS, doublings)
-                pause = constants.MIN_JOB_BACKOFF_S * 2**doublings
-                job.retry_at = self._clock.now() + min(constants.MAX_JOB_BACKOFF_S, pause)
+                pause = job_backoff_s(job.failed_probes if not job.live else 0)
+                job.retry_at = self._clock.now() + pause
             log.info(
                 "attempt failed: %s on %s: %s%s",
                 attempt.name,
--- a/src/chalkgrade/record/changes.py
+++ b/src/chalkgrade/record/changes.py
@@ -141,11 +141,6 @@
     absent_keys: list[str] = field(default_factory=list)
     admissions: list["Admission"] = field(default_factory=list)  # the submissions it makes durable
 
-    @property
-    def absence_bytes(self) -> int:
-        """Bytes that the conditions on absent keys take in a commit, at most."""
-        return conditions_size(self.absent_keys)
-
 
 @dataclass(eq=False)
 class Admission:
--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -21,7 +21,7 @@
 
 from chalkgrade import constants
 from chalkgrade.outside import encode
-from chalkgrade.record.oplog import DONE, FAILED, INTERRUPTED, Op, OpLog
+from chalkgrade.record.oplog import DONE, FAILED, INTERRUPTED, Op, OpLog, page_number
 
 BATCH_PREFIX = "cg/in/"
 JOB_PREFIX = "cg/job/"
@@ -161,11 +161,6 @@
     spec: NamedSpec
 
 
-def page_number(index: int) -> int:
-    """Return the number of the page that holds a task."""
-    return index // constants.TASKS_PER_PAGE
-
-
 class EndValue(msgspec.Struct):
     """The value under cg/end/."""
 
@@ -399,7 +394,7 @@
 
     def page_of(self, index: int) -> Page:
         """Return the page of a task, creating it if needed."""
-        number = index // constants.TASKS_PER_PAGE
+        number = page_number(index)
         page = self.pages.get(number)
         if page is None:
             page = self.pages[number] = Page(f"{TASK_PREFIX}{self.name}/{number}")
@@ -424,7 +419,7 @@
             page = self.page_of(index)
             if lsn <= page.durable_lsn:
                 continue
-            changed_pages.add(index // constants.TASKS_PER_PAGE)
+            changed_pages.add(page_number(index))
             if isinstance(event, str):
                 page.next_try = max(page.next_try, number + 1)
                 self._add_live(page, Attempt(self, index, number, event, 0))
--- a/src/chalkgrade/record/loading.py
+++ b/src/chalkgrade/record/loading.py
@@ -23,9 +23,8 @@
     NamedRecord,
     PageValue,
     RawBatchValue,
-    page_number,
 )
-from chalkgrade.record.oplog import LOG_PREFIX, OpLog, SegmentValue
+from chalkgrade.record.oplog import LOG_PREFIX, OpLog, SegmentValue, page_number
 from chalkgrade.record.registry import JobRegistry
 from chalkgrade.state.client import Row
 
--- a/src/chalkgrade/record/oplog.py
+++ b/src/chalkgrade/record/oplog.py
@@ -29,6 +29,11 @@
 SEGMENT_FRAME_B = len(b'{"e":[]}') - 1
 
 
+def page_number(index: int) -> int:
+    """Return the number of the page that holds a task."""
+    return index // constants.TASKS_PER_PAGE
+
+
 class Op(NamedTuple):
     """An attempt was placed (`event`: its machine) or ended (`DONE`, `INTERRUPTED`, `FAILED`)."""
 
@@ -149,7 +154,7 @@
                 if grouped and size + op_size > self._segment_max_b:
                     break
                 grouped.setdefault(op.job, []).append((op.task, op.try_number, op.event))
-                refs.add((op.job, op.task // constants.TASKS_PER_PAGE))
+                refs.add((op.job, page_number(op.task)))
                 size, count = size + op_size, count + 1
                 op = next(waiting, None)
             lsn += 1
--- a/src/chalkgrade/record/writer.py
+++ b/src/chalkgrade/record/writer.py
@@ -13,7 +13,7 @@
 
 from chalkgrade import constants
 from chalkgrade.outside import NoAnswer
-from chalkgrade.record.changes import Batch, KeyWrite, RecordChange
+from chalkgrade.record.changes import Batch, KeyWrite, RecordChange, conditions_size
 from chalkgrade.record.in_flight import InFlightCommits
 from chalkgrade.record.jobs import END_PREFIX, JOB_PREFIX, JobValue
 from chalkgrade.record.registry import JobRegistry
@@ -58,7 +58,8 @@
                 continue  # a value over the limit would always be rejected
             adds_batch = change.batch is not None and change.batch not in edits
             op_count = len(change.writes) + adds_batch
-            size = sum(write.size for write in change.writes) + change.absence_bytes
+            size = sum(write.size for write in change.writes)
+            size += conditions_size(change.absent_keys)
             size += sum(len(value or b"") + 80 for value in change.edits.values())
             if adds_batch and change.batch is not None:
                 size += change.batch.size + 120
--- a/src/chalkgrade/sharing/constraints.py
+++ b/src/chalkgrade/sharing/constraints.py
@@ -19,6 +19,12 @@
 UNLIMITED = 1e18  # an amount of any resource that no team can reach
 
 
+def job_backoff_s(failures: int) -> float:
+    """Return the pause in seconds after a job's first failure and so many repeated ones."""
+    doublings = min(constants.MAX_BACKOFF_DOUBLINGS, failures)
+    return min(constants.MAX_JOB_BACKOFF_S, constants.MIN_JOB_BACKOFF_S * 2.0**doublings)
+
+
 class JobBackoff(StartConstraint):
     """Starts nothing of aborted jobs, and probes a failing job only after a backoff delay."""
 
--- a/src/chalkgrade/sharing/isolation.py
+++ b/src/chalkgrade/sharing/isolation.py
@@ -15,6 +15,7 @@
 from chalkgrade.logs import decision_fields
 from chalkgrade.outside import Clock
 from chalkgrade.record.jobs import Job
+from chalkgrade.sharing.constraints import job_backoff_s
 
 log = logging.getLogger("chalkgrade.sharing")
 
@@ -79,8 +80,7 @@
 
     def _set_aside(self, job: Job) -> None:
         errors = self._jobs[job].errors + 1 if job in self._jobs else 1
-        delay = constants.MIN_JOB_BACKOFF_S * 2 ** min(errors - 1, constants.MAX_BACKOFF_DOUBLINGS)
-        delay = min(constants.MAX_JOB_BACKOFF_S, delay)
+        delay = job_backoff_s(errors - 1)
         self._jobs[job] = _SetAside(errors, self._clock.now() + delay)
         self.error_count += 1
         log.exception(
--- a/src/chalkgrade/sharing/rounds.py
+++ b/src/chalkgrade/sharing/rounds.py
@@ -36,14 +36,7 @@
 from chalkgrade.sharing.preemption import Preemptor
 from chalkgrade.sharing.queues import Queues
 from chalkgrade.sharing.starvation import StarvationGuard
-from chalkgrade.vectors import (
-    ZERO,
-    Vector,
-    dominant_share,
-    fits,
-    minus,
-    plus,
-)
+from chalkgrade.vectors import ZERO, Vector, dominant_share, fits, minus, plus
 
 log = logging.getLogger("chalkgrade.sharing")
 
