Test that shows accepted jobs being accepted a second time without the leader

PROTOCOL: "Retrying an accepted job yields 200 together with the job's current state."

The test submits jobs with six kinds of records (in a batch, under their own key, under both, waiting, ended, cancelled), brings about one of seven troubles and repeats the submissions at the followers, with the fields in another order and with an unknown one.

--- /dev/null
+++ b/tests/test_repeated_submissions.py
@@ -0,0 +1,214 @@
+"""Repeated submissions of accepted jobs, while the leader can't be asked.
+
+A job that any user was told of is answered with 200 and its state, never with 201 as a new one.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from chalkgrade.record.jobs import BATCH_PREFIX, END_PREFIX, JOB_PREFIX
+from chalkgrade.region.world import World, tell
+from test_membership import _acting_leader, _give_lead, _wait_until
+
+TROUBLE_S = 6.0  # for which jobs are submitted again
+REPEAT_INTERVAL_S = 0.3
+OUTAGE_S = 4.0
+CUT_S = 20.0
+REPEAT_TIMEOUT_S = 6.0  # until each request is answered or given up
+
+Answers = dict[str, list[int]]  # job -> status codes of the answers to its submissions
+Trouble = Callable[[World, str], Awaitable[None]]  # gets the leader's name
+
+
+def _add_job(world: World, number: int, **changes: Any) -> str:
+    """Make a small job known to the rules; returns its name."""
+    plain = {"jobclass": "small", "owner": "blue", "shape": "batch", "tasks": 2, "vcpus": 1.0}
+    plain |= {"memoryGb": 1.0, "hosttypes": None, "site": None, "oneZone": False, "spread": False}
+    plain |= {"standby": True, "savepointS": 0.0, "dueS": None, "expectedS": 60.0}
+    spec = world.spec(number, **(plain | changes))
+    world.jobs[spec["nameId"]] = {
+        "spec": spec,
+        "aborted": None,
+        "accepted": False,
+        "over": None,
+        "at": world.now,
+        "replicas": set(),
+    }
+    return str(spec["nameId"])
+
+
+def _followers(world: World) -> list[str]:
+    leaders = world.leaders()
+    return [member for member in world.members if member not in leaders and world.up(member)]
+
+
+async def _accept(world: World, name: str, member: str = "") -> None:
+    """Submit a job until it is accepted."""
+    while (answer := await world.submit(name, member)) is None or answer[0] not in (200, 201):
+        await asyncio.sleep(0.5)
+    world.jobs[name]["accepted"] = True
+
+
+def _batches_with(world: World, name: str) -> list[str]:
+    """Return the keys of the batches that have a record of the job."""
+    return [
+        key
+        for key, row in world.store.keys.items()
+        if key.startswith(BATCH_PREFIX) and any(j["spec"]["nameId"] == name for j in row[0]["jobs"])
+    ]
+
+
+# -- where an accepted job's record is ------------------------------------------------------------
+
+
+async def _in_batch(world: World, name: str) -> None:
+    await _accept(world, name, world.leaders()[0])
+    assert _batches_with(world, name)
+
+
+async def _under_own_key(world: World, name: str) -> None:
+    leader, follower = world.leaders()[0], _followers(world)[0]
+    world.cut({leader}, {follower}, 3.0, False)
+    await asyncio.sleep(1.0)
+    await _accept(world, name, follower)
+    assert JOB_PREFIX + name in world.store.keys and not _batches_with(world, name)
+    await asyncio.sleep(3.0)
+
+
+async def _under_both(world: World, name: str) -> None:
+    await _in_batch(world, name)
+    node = world.nodes[_followers(world)[0]]
+    assert node is not None
+    record = {"spec": world.jobs[name]["spec"], "at": world.now}
+    key = JOB_PREFIX + name
+    created = node.ledger.commit({key: 0, END_PREFIX + name: 0}, [{"write": key, "v": record}])
+    await world.run_as(node.settings.member, created)
+
+
+async def _waiting(world: World, name: str) -> None:
+    predecessor = _add_job(world, 900 + int(name[-3:]))
+    await _in_batch(world, predecessor)
+    world.jobs[name]["spec"]["waitsOn"] = [predecessor]
+    await _in_batch(world, name)
+
+
+async def _ended(world: World, name: str) -> None:
+    world.jobs[name]["spec"]["expectedS"] = 0.5
+    await _in_batch(world, name)
+    await _wait_until(world, 120.0, lambda: END_PREFIX + name in world.store.keys)
+
+
+async def _cancelled(world: World, name: str) -> None:
+    await _in_batch(world, name)
+    await world.cancel_until_over(name)
+
+
+RECORDS = [_in_batch, _under_own_key, _under_both, _waiting, _ended, _cancelled]
+
+
+# -- why the leader can't be asked ----------------------------------------------------------------
+
+
+async def _killed(world: World, leader: str) -> None:
+    world.crash(leader)
+
+
+async def _stopped(world: World, leader: str) -> None:
+    world.loop.freeze(leader, world.now + TROUBLE_S + 2.0)
+
+
+async def _outage_and_killed(world: World, leader: str) -> None:
+    world.store.outage(OUTAGE_S)
+    world.crash(leader)
+
+
+async def _cut_off(world: World, leader: str) -> None:
+    world.cut({leader}, set(world.members) - {leader}, CUT_S, False)
+
+
+async def _refused(world: World, leader: str) -> None:
+    world.store.unavailable_until[leader] = world.now + TROUBLE_S
+
+
+async def _answers_lost(world: World, leader: str) -> None:
+    world.store.answer_loss = (world.now + TROUBLE_S, 0.8)
+    world.crash(leader)
+
+
+async def _handed_over(world: World, leader: str) -> None:
+    node = world.nodes[leader]
+    assert node is not None
+    while (
+        world.nodes[leader] is node and node.leadership.token and not await _give_lead(world, node)
+    ):
+        await asyncio.sleep(0.2)
+
+
+TROUBLES: list[Trouble] = [
+    _killed,
+    _stopped,
+    _outage_and_killed,
+    _cut_off,
+    _refused,
+    _answers_lost,
+    _handed_over,
+]
+
+
+def _spelled_differently(spec: dict[str, Any]) -> bytes:
+    """Return the submission in another field order and with fields that nobody knows."""
+    fields = dict(reversed(list(spec.items())))
+    fields["old_nameId"] = "run-558702"
+    return msgspec.json.encode(fields)
+
+
+async def _repeat(world: World, name: str, member: str, answers: list[int]) -> None:
+    body = _spelled_differently(world.jobs[name]["spec"])
+    answer = await world._checked_request(name, "POST", "/v2/runs", body, member)
+    if answer is not None:
+        answers.append(answer[0])
+
+
+async def _submit_in_trouble(world: World, trouble: Trouble) -> tuple[Answers, Answers]:
+    """Return the answers to repeated submissions of known jobs, and to those of new jobs."""
+    await _wait_until(world, 20.0, lambda: _acting_leader(world) is not None)
+    known: Answers = {}
+    new: Answers = {}
+    for number, record in enumerate(RECORDS, 1):
+        name = _add_job(world, number)
+        await record(world, name)
+        known[name] = []
+    leader = world.leaders()[0]
+    followers = [member for member in world.members if member != leader]
+    world.spawn(trouble(world, leader))
+    until = world.now + TROUBLE_S
+    number = 100
+    while world.now < until:
+        await asyncio.sleep(REPEAT_INTERVAL_S)
+        for member in followers:
+            for name, answers in known.items():
+                world.spawn(_repeat(world, name, member, answers))
+            number += 1
+            name = _add_job(world, number)
+            world.spawn(_repeat(world, name, member, new.setdefault(name, [])))
+    await asyncio.sleep(REPEAT_TIMEOUT_S)
+    return known, new
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_a_job_that_users_know_is_not_answered_as_new_without_its_leader(trouble: Trouble) -> None:
+    answers: list[Answers] = []
+
+    async def story(world: World) -> None:
+        answers.extend(await _submit_in_trouble(world, trouble))
+
+    tell(story, 5, loss=0.0)
+    known, new = answers
+    assert all(set(statuses) <= {200, 503} for statuses in known.values()), known
+    assert all(200 in statuses for statuses in known.values()), known
+    assert {status for statuses in new.values() for status in statuses} <= {201, 503}
+    assert any(201 in statuses for statuses in new.values())
