Submissions have a module of their own

Change: the class Submissions in serving/submissions.py has the latter, unchanged; JobApi keeps queries and aborts. Tests that replace a method replace it there.

--- a/src/chalkgrade/serving/node.py
+++ b/src/chalkgrade/serving/node.py
@@ -28,6 +28,7 @@
 from chalkgrade.serving.message_sizes import MessageSizes
 from chalkgrade.serving.record_reader import RETRY_LATER, Answer
 from chalkgrade.serving.report_router import ReportRouter
+from chalkgrade.serving.submissions import Submissions
 from chalkgrade.settings import Settings
 from chalkgrade.state.client import LedgerClient, NotExecuted
 from chalkgrade.state.leader_context import LeaderContext
@@ -100,9 +101,8 @@
         self.leadership.is_eligible = lambda: not self.presence.is_superseded
         self.leadership.campaign_rank = self._campaign_rank
         self.leadership.lease_duration_s = self._lease_duration_s
-        self.job_api = JobApi(
-            settings, self.ledger, self.leadership, peers, clock, self.flavors, self.views
-        )
+        self.job_api = JobApi(settings, self.ledger, self.leadership, peers, clock, self.views)
+        self.submissions = Submissions(settings, self.ledger, clock, self.flavors, self.job_api)
         self.succession = HintExchange(self._send_hints)
         self.report_router = ReportRouter(
             self.leadership,
@@ -124,7 +124,7 @@
         self.cancellation_poll = CancellationPoll(
             clock, peers, others, self.leadership, lambda: self.term
         )
-        self.job_api.submission_checks += subsystems.submission_checks(settings)
+        self.submissions.submission_checks += subsystems.submission_checks(settings)
         self.term: Term | None = None
         self.responses_by_status: dict[str, int] = {}  # HTTP responses
         self._tasks: list[asyncio.Task[None]] = []
@@ -380,7 +380,7 @@
                 status, body = RETRY_LATER
                 if self.term is not None and self.term.is_serving():
                     spec = parse_submission(arg.encode(), self.ledger.limits.max_value_bytes)
-                    status, body = await self.job_api.submit_as_leader(spec)
+                    status, body = await self.submissions.submit_as_leader(spec)
             elif what == "hello":
                 status, body = 421, {}
                 if self.term is not None and self.term.ready:
@@ -441,7 +441,7 @@
         if path == "/v2/runs":
             if method != "POST":
                 return 405, {"error": "POST only"}
-            return await self.job_api.submit(body)
+            return await self.submissions.submit(body)
         if path.startswith("/v2/runs/"):
             name = path.removeprefix("/v2/runs/")
             if name.endswith("/abort"):
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -22,9 +22,9 @@
 from chalkgrade.record.registry import JobRegistry
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
-from chalkgrade.serving.job_api import JobApi
 from chalkgrade.serving.job_status import FINAL_STATUSES
 from chalkgrade.serving.record_reader import RecordReader, RecordSummary
+from chalkgrade.serving.submissions import Submissions
 from test_membership import _acting_leader, _give_lead, _wait_until
 
 Patch = pytest.MonkeyPatch
@@ -409,14 +409,14 @@
             raise NoAnswer("not durable in time")
         return admission.result.result()
 
-    plain = JobApi.submit_as_leader
+    plain = Submissions.submit_as_leader
 
-    async def pending(self: JobApi, spec: Any) -> Any:
+    async def pending(self: Submissions, spec: Any) -> Any:
         status, body = await plain(self, spec)
         return status, {"nameId": spec.nameId, "status": "pending"} if status == 201 else body
 
     patch.setattr(JobRegistry, "admit", admit)
-    patch.setattr(JobApi, "submit_as_leader", pending)
+    patch.setattr(Submissions, "submit_as_leader", pending)
 
 
 def _book_while_the_end_is_open(patch: Patch) -> None:
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -22,8 +22,9 @@
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.worker import Task
 from chalkgrade.region.world import World, close, tell
-from chalkgrade.serving import job_api, node
+from chalkgrade.serving import node, submissions
 from chalkgrade.serving.job_api import JobApi
+from chalkgrade.serving.submissions import Submissions
 from chalkgrade.sharing import constraints
 from chalkgrade.state.leadership import LEADER_KEY
 from test_gap import _long_job
@@ -176,18 +177,18 @@
 
 
 def _takes_what_fits_nothing(patch: Patch) -> None:
-    patch.setattr(JobApi, "rejection_reason", lambda self, spec: None)
+    patch.setattr(Submissions, "rejection_reason", lambda self, spec: None)
 
 
 def _fills_in_what_is_missing(patch: Patch) -> None:
     """A field that is not there is taken for 0."""
-    plain = job_api.parse_submission
+    plain = submissions.parse_submission
 
     def parse(body: bytes, value_b: int) -> Any:
         found = {"flushS": 0.0, "savepointS": 0.0} | msgspec.json.decode(body)
         return plain(msgspec.json.encode(found), value_b)
 
-    patch.setattr(job_api, "parse_submission", parse)
+    patch.setattr(submissions, "parse_submission", parse)
     patch.setattr(node, "parse_submission", parse)  # the leader's, of what others pass on
 
 
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -14,7 +14,7 @@
 from chalkgrade.region.adversarial_users import REQUIRED_FIELDS
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
-from chalkgrade.serving.job_api import JobApi
+from chalkgrade.serving.submissions import Submissions
 from test_gap import _long_job
 from test_membership import _acting_leader, _wait_until
 from test_placement_rentals import spec as make_spec
@@ -199,10 +199,10 @@
     """
     if bug:
 
-        async def without_lookup(self: JobApi, name: str, answer: Any) -> Any:
+        async def without_lookup(self: Submissions, name: str, answer: Any) -> Any:
             return answer
 
-        monkeypatch.setattr(JobApi, "_unless_accepted", without_lookup)
+        monkeypatch.setattr(Submissions, "_unless_accepted", without_lookup)
 
     async def story(world: World) -> None:
         jobs = [_long_job(1, 2) | {"owner": "red", "vcpus": 4.0}, _long_job(2, 2), _long_job(3, 30)]
