A job that users know is not answered as new by a controller that can't ask the leader

Cause: a check in one path and not in another. The leader knows of each record that a job may have: in a batch, under its own key, under its final key. A controller that commits a submission itself put a condition on the last two only, and took the success of that commit for proof that the job was new; a job that the leader had accepted stands in a batch. Also, while the answer to its commit was open, it took any record under the own key for its own, whoever had written it: where the budget of changes makes a commit wait, a job under its own key got 201 too.

Change: the records are read first, once the submission has arrived, and decide. An accepted job has a record at every revision until its end, so one that has none in that read and is not over when it is committed was accepted by nobody before the request was sent. That holds for each way to know of the commit: its answer, the record that is read meanwhile, or the status that is read after its answer was lost. The scan replaces the one after the commit, and the second scan of submissions that wait for others. Known jobs cost no commit and get no second record.

A refusal by any path (400 or 422, also by a leader with other limits) is given only if no controller has accepted the job; the leader's 400 was passed on unchecked before.

The answers are counted in chalkgrade_submissions by outcome, route and evidence, and logged at debug.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -161,6 +161,7 @@
 LEADER_WRITE_RATE_RATIO: Final = 0.7
 LEADER_REQUEST_RATE_RATIO: Final = 0.5
 QUERY_REQUEST_RATE_RATIO: Final = 0.5  # of a controller's requests, for reads that users cause
+COMMIT_RETRY_INTERVAL_S: Final = 0.1  # before a submission that was not executed is sent again
 COMMIT_COALESCING_S: Final = 0.03  # wait after the first dirty record, so that a commit has many
 # Concurrent commits of submissions; a slow one delays a quarter of the submissions.
 ADMISSION_LANE_COUNT: Final = 4
--- a/src/chalkgrade/region/rules.py
+++ b/src/chalkgrade/region/rules.py
@@ -183,12 +183,20 @@
         for task, worker in self._worker_of.items():
             self.check_cancelled(worker, task)
 
-    def check_answer(self, name: str, asked: float, answer: tuple[int, Any] | None) -> None:
-        """Check the answer to a request about a job sent at `asked`; None means no answer came."""
+    def check_answer(
+        self, name: str, asked: float, answer: tuple[int, Any] | None, member: str = ""
+    ) -> None:
+        """Check the answer to a request about a job sent at `asked`; None means no answer came.
+
+        `member`: the controller that was asked.
+        """
         if answer is None:
             return
         if answer[0] in (200, 201):
+            before = self._status_known_at(name, asked)
             self.record_status(name, answer[1], asked)
+            if answer[0] == 201 and before is not None and not self.runs_earlier_version(member):
+                raise Broken(f"forgotten: {name} was {before}, now accepted as new (201)")
         elif answer[0] in (400, 404, 422):
             # An accepted job is never reported as unknown, and may always be submitted again.
             before = self._status_known_at(name, asked)
@@ -197,6 +205,10 @@
             if answer[0] != 404:
                 raise Broken(f"{name} refused: {answer}")
 
+    def runs_earlier_version(self, member: str) -> bool:
+        """Whether a controller runs the version in production, which accepts known jobs anew."""
+        return False
+
     def _status_known_at(self, name: str, asked: float) -> str | None:
         """The latest status of a job that any user had received before a request was sent.
 
--- a/src/chalkgrade/region/users.py
+++ b/src/chalkgrade/region/users.py
@@ -133,8 +133,9 @@
         self, name: str, method: str, path: str, body: Any, member: str
     ) -> tuple[int, Any] | None:
         asked = self.now
-        answer = await self.send_request(method, path, body, member)
-        self.check_answer(name, asked, answer)
+        member = member or self._choose_controller()
+        answer = await self.send_request(method, path, body, member) if member else None
+        self.check_answer(name, asked, answer, member)
         return answer
 
     async def cancel_until_over(self, name: str) -> None:
@@ -179,11 +180,15 @@
         self, method: str, path: str, body: Any, member: str = ""
     ) -> tuple[int, Any] | None:
         """Send a request to `member`, or to a random live controller; None: no answer."""
-        up = [member for member in self.members if self.up(member)]
-        if not up:
+        member = member or self._choose_controller()
+        if not member:
             return None
-        member = member or self.rng.choice(up)
         try:
             return await self.request("users", member, method, path, body, 5.0)
         except NoAnswer:
             return None
+
+    def _choose_controller(self) -> str:
+        """A random live controller; empty if there is none."""
+        up = [member for member in self.members if self.up(member)]
+        return self.rng.choice(up) if up else ""
--- a/src/chalkgrade/region/world.py
+++ b/src/chalkgrade/region/world.py
@@ -95,6 +95,10 @@
             return self.nodes[target] is not None
         return target in self.servers
 
+    def runs_earlier_version(self, member: str) -> bool:
+        """Return whether a controller runs another version of the program."""
+        return member in self.versions
+
     def leaders(self) -> list[str]:
         """Return the controllers that consider themselves leader."""
         return [m for m, node in self.nodes.items() if node is not None and node.leadership.token]
--- a/src/chalkgrade/serving/dependency_check.py
+++ b/src/chalkgrade/serving/dependency_check.py
@@ -4,7 +4,7 @@
 valid; and otherwise reads of the state service that start after the request arrived.
 """
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import Any
 
 from chalkgrade.leading.term import Term
@@ -16,10 +16,6 @@
 SERVICE_SHAPE = "service"
 
 
-# Returns all unfinished jobs, by a read that starts after the call.
-ReadUnfinishedJobs = Callable[[], Awaitable[Mapping[str, RecordSummary]]]
-
-
 class DependencyCheck:
     """Checks dependencies on behalf of one node."""
 
@@ -27,42 +23,53 @@
         self,
         ledger: LedgerClient,
         finals: Mapping[str, Mapping[str, Any]],
-        records: ReadUnfinishedJobs,
-        tell: Callable[[str], Awaitable[Answer]],
+        job_status: Callable[[str], Awaitable[Answer]],
     ) -> None:
-        """`tell` returns a job's status as users get it."""
+        """`job_status` returns a job's status as users get it."""
         self.ledger = ledger
         self.finals = finals  # job -> final state, as far as this node knows
-        self.read_unfinished_jobs = records
-        self.job_status = tell
+        self.job_status = job_status
+
+    async def rejection_by_registry(self, names: list[str], term: Term) -> str | None:
+        """Return why a submission can't wait for these jobs, or None, for a leader that serves.
 
-    async def dependency_rejection(self, names: list[str], term: Term | None) -> str | None:
+        Its registry knows all unfinished jobs except those that another node has just accepted
+        under a key of their own, which are read. Raises NoAnswer if it can't be determined now.
+        """
+        jobs = term.jobs
+        shapes: dict[str, str] = {name: jobs[name].spec.shape for name in names if name in jobs}
+        for name in names:
+            admission = term.registry.admissions.get(name)
+            if admission is None or name in shapes or name in term.registry.over:
+                continue
+            if (await self.job_status(name))[0] != 200:
+                raise NoAnswer("a job in waitsOn is still being accepted")
+            shapes[name] = admission.value.spec.shape
+        return await self._rejection(names, shapes, term.registry.over.keys())
+
+    async def rejection_by_records(
+        self, names: list[str], records: Mapping[str, RecordSummary]
+    ) -> str | None:
         """Return why a submission can't wait for these jobs, or None.
 
-        Raises NoAnswer when that can't be determined now. A leader with a valid lease knows all
-        unfinished jobs except those that another node has just accepted under a key of their
-        own; so its registry is used first and the read finds the others.
+        `records` are all unfinished jobs, by a scan that started after the submission arrived.
+        Raises NoAnswer if it can't be determined now.
         """
-        if term is not None and term.is_serving():
-            jobs = term.jobs
-            shapes: dict[str, str] = {name: jobs[name].spec.shape for name in names if name in jobs}
-            known = shapes.keys() | term.registry.over.keys()
-            for name in names:
-                admission = term.registry.admissions.get(name)
-                if admission is None or name in known:
-                    continue
-                if (await self.job_status(name))[0] != 200:
-                    raise NoAnswer("a job in waitsOn is still being accepted")
-                shapes[name] = admission.value.spec.shape
-            known |= shapes.keys()
-        else:
-            unfinished = await self.read_unfinished_jobs()
-            shapes = {name: unfinished[name].spec.shape for name in names if name in unfinished}
-            known = shapes.keys() | set[str]()
+        shapes = {name: records[name].spec.shape for name in names if name in records}
+        return await self._rejection(names, shapes, ())
+
+    async def _rejection(
+        self, names: list[str], shapes: Mapping[str, str], over: Collection[str]
+    ) -> str | None:
+        """`shapes`: of the unfinished ones of these jobs; `over`: jobs known to be over."""
         for name, shape in shapes.items():
             if shape == SERVICE_SHAPE:
                 return f"waitsOn: {name} is a service, which is never done"
-        unresolved = [name for name in names if name not in known and name not in self.finals]
+        unresolved = [
+            name
+            for name in names
+            if name not in shapes and name not in over and name not in self.finals
+        ]
         # One commit replaces a job's record by its final state: both keys are read together.
         keys = [prefix + name for name in unresolved for prefix in (JOB_PREFIX, END_PREFIX)]
         found = await self.ledger.existing_keys(keys)
--- a/src/chalkgrade/serving/node.py
+++ b/src/chalkgrade/serving/node.py
@@ -20,7 +20,6 @@
 from chalkgrade.membership.registration import Registration
 from chalkgrade.membership.views import ALIVE, STATES, Views
 from chalkgrade.outside import Clock, Http, NoAnswer, Peers, encode
-from chalkgrade.record.jobs import SubmissionError, parse_submission
 from chalkgrade.renting.cloud import CloudClient
 from chalkgrade.serving.cancellation_poll import CancellationPoll
 from chalkgrade.serving.handover import Handover
@@ -215,6 +214,7 @@
         yield labelled_sample(
             "cloud_responses", "Cloud answers", "status", self.cloud.response_counts
         )
+        yield self.submissions.decision_counts.sample()
         yield from self.message_sizes.samples()
         if self.term is not None:
             yield from self.term.samples()
@@ -379,8 +379,7 @@
             elif what == "submit" and isinstance(arg, str):
                 status, body = RETRY_LATER
                 if self.term is not None and self.term.is_serving():
-                    spec = parse_submission(arg.encode(), self.ledger.limits.max_value_bytes)
-                    status, body = await self.submissions.submit_as_leader(spec)
+                    status, body = await self.submissions.submit_for_peer(arg.encode())
             elif what == "hello":
                 status, body = 421, {}
                 if self.term is not None and self.term.ready:
@@ -388,7 +387,7 @@
                     status, body = await self.term.handle_report(
                         report, len(encode(arg)), relayed=True
                     )
-        except (msgspec.ValidationError, SubmissionError) as error:
+        except msgspec.ValidationError as error:
             status, body = 400, {"error": str(error)}
         except (NoAnswer, NotExecuted):
             status, body = RETRY_LATER
--- a/src/chalkgrade/serving/record_reader.py
+++ b/src/chalkgrade/serving/record_reader.py
@@ -38,6 +38,7 @@
     aborted: bool = False
     apart: tuple[str, int] | None = None  # where `waitsOn` is stored, if under a key of its own
     doubtful: bool = False  # the job may have finished: its final key decides
+    in_batch: bool = False  # it was found in a batch
 
     @property
     def has_dependencies(self) -> bool:
@@ -88,20 +89,12 @@
         reach the leader creates a second one. Either may say that the job was aborted.
         """
         if not absent_at_leader:
-            records = await self.read_unfinished_jobs()
-            record = records.get(name)
-            if record is not None and (record.aborted or not record.doubtful):
-                return 200, await self._unfinished_job_answer(record, records)
+            answer = await self.status_in(name, await self.read_unfinished_jobs())
+            if answer is not None:
+                return answer
         found = await self.lookups.existing_job_keys(name)
         if END_PREFIX + name in found:
-            row = await self.ledger.get(END_PREFIX + name)
-            if row is None:
-                return RETRY_LATER
-            end = msgspec.json.decode(row.v, type=EndValue)
-            return 200, self.remember_final_state(name, end.status, end.tasks)
-        if not absent_at_leader and record is not None:
-            # No final key: the job is unfinished and its batch is up to date.
-            return 200, await self._unfinished_job_answer(record, records)
+            return 200, await self._read_final_state(name)
         if not found:
             return UNKNOWN_JOB
         row = await self.ledger.get(JOB_PREFIX + name)
@@ -113,6 +106,29 @@
             return await self.read_status(name, absent_at_leader=False)
         return 200, await self._unfinished_job_answer(record, {name: record})
 
+    async def status_in(self, name: str, records: Mapping[str, RecordSummary]) -> Answer | None:
+        """Return a job's status by the records of a scan, None if it has no record there.
+
+        Raises NoAnswer if it can't be determined.
+        """
+        record = records.get(name)
+        if record is None:
+            return None
+        if record.doubtful and not record.aborted:
+            found = await self.lookups.existing_job_keys(name)
+            if END_PREFIX + name in found:
+                return 200, await self._read_final_state(name)
+            # No final key: the job is unfinished and its batch is up to date.
+        return 200, await self._unfinished_job_answer(record, records)
+
+    async def _read_final_state(self, name: str) -> dict[str, Any]:
+        """Return the answer for a job that has a final key."""
+        row = await self.ledger.get(END_PREFIX + name)
+        if row is None:
+            raise NoAnswer("the final key was found and is not read")
+        end = msgspec.json.decode(row.v, type=EndValue)
+        return self.remember_final_state(name, end.status, end.tasks)
+
     async def read_open_commits(
         self, name: str, told: dict[str, Any] | None, keys: Iterable[str]
     ) -> Answer:
@@ -216,6 +232,7 @@
             for record in msgspec.json.decode(row.v, type=BatchSummary).jobs:
                 record.doubtful = len(row.v) > self.ledger.limits.max_value_bytes
                 first = records.setdefault(record.spec.nameId, record)
+                first.in_batch = True
                 # A job's own record is removed by the commit that writes its final key, so while it
                 # exists the job is unfinished.
                 first.aborted = first.aborted or record.aborted
--- a/tests/test_repeated_submissions.py
+++ b/tests/test_repeated_submissions.py
@@ -11,7 +11,9 @@
 import pytest
 
 from chalkgrade.record.jobs import BATCH_PREFIX, END_PREFIX, JOB_PREFIX
+from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
+from chalkgrade.serving.record_reader import RecordReader
 from test_membership import _acting_leader, _give_lead, _wait_until
 
 TROUBLE_S = 6.0  # for which jobs are submitted again
@@ -212,3 +214,18 @@
     assert all(200 in statuses for statuses in known.values()), known
     assert {status for statuses in new.values() for status in statuses} <= {201, 503}
     assert any(201 in statuses for statuses in new.values())
+
+
+@pytest.mark.parametrize("trouble", [_killed, _answers_lost])
+def test_acceptance_without_reading_the_batches_is_found(
+    trouble: Trouble, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def unknown(self: RecordReader, name: str, records: Any) -> None:
+        return None
+
+    async def story(world: World) -> None:
+        await _submit_in_trouble(world, trouble)
+
+    monkeypatch.setattr(RecordReader, "status_in", unknown)
+    with pytest.raises(Broken, match="forgotten.*accepted as new"):
+        tell(story, 5, loss=0.0)
