--- a/src/chalkgrade/cli.py
+++ b/src/chalkgrade/cli.py
@@ -148,7 +148,17 @@
 @click.argument(
     "name",
     type=click.Choice(
-        ["failover", "gap", "growth", "licences", "meetings", "moves", "pipelines", "troubles"]
+        [
+            "failover",
+            "gap",
+            "growth",
+            "leaderless",
+            "licences",
+            "meetings",
+            "moves",
+            "pipelines",
+            "troubles",
+        ]
     ),
 )
 @click.option("--seed", default=1, show_default=True, help="Of all that is drawn.")
--- a/src/chalkgrade/experiments/meetings.py
+++ b/src/chalkgrade/experiments/meetings.py
@@ -524,6 +524,8 @@
             meeting.change(made)
     if drawn and rng.random() < ODD_PART:
         made.faults.append(fault(first, "odd_requests", 40.0))
+    if drawn:
+        made.faults.append(fault(first, "repeats", ends - first))
     return made, chosen
 
 
@@ -562,6 +564,7 @@
         "late_writes_refused": world.store.late_refused,
         "reports_late": len(world.copied),
         "copies_believed": world.believed,
+        "submissions_repeated": world.repeated_submissions,
         "elections_s_p99": round(percentile(world.gaps, 0.99), 2),
         "jobs": len(world.jobs),
         "why": broken,
@@ -569,7 +572,15 @@
 
 
 # How figures of several days become one.
-SUMS = ("broken", "lost", "went_back", "over_limit", "starts_after_cancel", "copies_believed")
+SUMS = (
+    "broken",
+    "lost",
+    "went_back",
+    "over_limit",
+    "starts_after_cancel",
+    "copies_believed",
+    "submissions_repeated",
+)
 MOST = ("silent_s_max", "idle_room_s_max", "gone_s_max", "largest_begin_s_max")
 
 
--- a/src/chalkgrade/region/adversarial_users.py
+++ b/src/chalkgrade/region/adversarial_users.py
@@ -1,6 +1,8 @@
 """Users that cancel at critical moments, query all controllers at once or send bad requests."""
 
 import asyncio
+import json
+import random
 from typing import Any
 
 from chalkgrade.region.rules import Broken
@@ -13,6 +15,9 @@
 CLOSE_CHECK_S = 0.02  # time within which all controllers are queried
 QUERIES_PER_CONTROLLER = 3  # after one event
 CLOSE_CANCEL_SHARE = 0.1  # share of close checks in which the user also cancels
+REPEAT_INTERVAL_S = 0.5  # between repeated submissions while the leader changes
+REPEATED_JOBS = 2  # jobs that are submitted again at once
+AFTER_LEADER_CHANGE_S = 5.0  # for which submissions are repeated
 ODD_REQUEST_INTERVAL_S = 0.3  # mean time between two odd requests
 INVALID_JOB_NUMBER = 700_000  # base of the numbers of invalid jobs
 # Fields that a submission must have; the others may be null, so they may be left out.
@@ -25,6 +30,16 @@
 RESOURCE_FIELDS = ("vcpus", "gpus", "memoryGb")
 
 
+def respell(spec: dict[str, Any], rng: random.Random) -> bytes:
+    """The same submission with its fields in another order, unknown fields and white space."""
+    known = list(spec.items())
+    unknown = [("old_nameId", "run-558702"), ("städte", {"nameId": "run-558703", "tasks": -1})]
+    fields = known + unknown
+    rng.shuffle(fields)
+    pairs = [json.dumps(key) + " :\n" + json.dumps(value) for key, value in fields]
+    return ("\t{ " + " ,\r\n".join(pairs) + " } ").encode()
+
+
 class AdversarialUsers(Users):
     """User behaviour that faults of a day switch on; every answer is checked as usual."""
 
@@ -33,12 +48,20 @@
         # Until when jobs are cancelled as they end, and which share of them.
         self.cancelling_at_end = (0.0, 0.0)
         self.odd_requests_until = self.close_checks_until = 0.0
+        self.repeats_until = 0.0  # submissions are repeated while the leader changes
+        self.repeated_submissions = 0
+        # A separate generator, so that the other draws of a seed stay as they are.
+        self.repeat_rng = random.Random(args[1])
         self.invalid_submissions = 0  # number of invalid submissions so far
         self.invalid_refusals: dict[str, int] = {}  # refused submissions by their defect
         self.trouble_cancellations = 0  # cancellations started by users of this class
         self.close_checks = 0  # events after which all controllers were queried
         self.close_check_cancellations = 0  # cancellations during such checks
 
+    def leaders(self) -> list[str]:
+        """Controllers that consider themselves the leader."""
+        raise NotImplementedError
+
     # -- cancellations at critical moments -------------------------------------------
 
     def max_remaining_s(self, name: str) -> float:
@@ -124,6 +147,33 @@
         await asyncio.sleep(self.rng.uniform(0.0, CLOSE_CHECK_S))
         await self.submit(name)
 
+    # -- repeated submissions ---------------------------------------------------------
+
+    async def repeat_submissions(self) -> None:
+        """Submit unfinished jobs again at all controllers while the leader changes, until the set
+        time; each time in another spelling.
+        """
+        leaders, changed_at = self.leaders(), 0.0
+        while self.now < self.repeats_until:
+            await asyncio.sleep(self.repeat_rng.uniform(0.0, 2 * REPEAT_INTERVAL_S))
+            if self.leaders() != leaders:
+                leaders, changed_at = self.leaders(), self.now
+            if leaders and self.now > changed_at + AFTER_LEADER_CHANGE_S:
+                continue
+            unfinished = [
+                name for name, job in self.jobs.items() if job["accepted"] and job["over"] is None
+            ]
+            count = min(REPEATED_JOBS, len(unfinished))
+            for name in self.repeat_rng.sample(unfinished, count):
+                for member in self.members:
+                    self.spawn(self._repeat_submission(name, member))
+
+    async def _repeat_submission(self, name: str, member: str) -> None:
+        if self.up(member):
+            self.repeated_submissions += 1
+            body = respell(self.jobs[name]["spec"], self.repeat_rng)
+            await self.submit(name, member, body)
+
     # -- odd requests -----------------------------------------------------------------
 
     async def send_odd_requests(self) -> None:
--- a/src/chalkgrade/region/day.py
+++ b/src/chalkgrade/region/day.py
@@ -97,6 +97,7 @@
     Kinds that concern users:
     cancel_now: they cancel running jobs; cancel_at_end: they cancel jobs as their last task ends.
     odd_requests: they repeat requests, cancel jobs that are over and send invalid requests.
+    repeats: while the leader changes they submit unfinished jobs again, spelled differently.
     close_looks: after each event they ask all controllers within milliseconds.
     """
 
@@ -105,7 +106,7 @@
         "crash", "roll", "freeze", "refuse", "outage", "slow", "cut", "zone", "stop", "silence",
         "take", "sick", "flap", "deaf", "copies", "isolate", "election", "limits",
         "late_writes", "hang", "mute", "cancel_now", "cancel_at_end", "odd_requests",
-        "close_looks", "quick_boots",
+        "close_looks", "quick_boots", "repeats",
     ]  # fmt: skip
     seconds: float = 10.0  # duration, or time until a controller is restarted
     times: int = 5  # flap: how often each process ends; election: number of restarts
--- a/src/chalkgrade/region/fleet.py
+++ b/src/chalkgrade/region/fleet.py
@@ -179,6 +179,9 @@
         elif fault.kind == "odd_requests":
             self.odd_requests_until = self.now + seconds
             self.spawn(self.send_odd_requests())
+        elif fault.kind == "repeats":
+            self.repeats_until = self.now + seconds
+            self.spawn(self.repeat_submissions())
         elif fault.kind == "close_looks":
             self.close_checks_until = self.now + seconds
         elif fault.kind == "quick_boots":
--- a/src/chalkgrade/region/troubles.py
+++ b/src/chalkgrade/region/troubles.py
@@ -29,10 +29,6 @@
         self.old_reports_delivered, self.old_reports_until = 0, 0.0
         self.last_flap_at = 0.0  # last restart within a crash loop
 
-    def leaders(self) -> list[str]:
-        """Controllers that consider themselves the leader."""
-        raise NotImplementedError
-
     def waiting_reason(self, jobclass: str) -> str:
         """Why a class waits, as the leader reports it; only for texts, no rule depends on it."""
         raise NotImplementedError
@@ -73,7 +69,10 @@
         copied = now < max(self.saving_reports[0], self.old_reports_until)
         mute = any(until > now for until in self.muted.values())
         users = now < max(
-            self.cancelling_at_end[0], self.odd_requests_until, self.close_checks_until
+            self.cancelling_at_end[0],
+            self.odd_requests_until,
+            self.close_checks_until,
+            self.repeats_until,
         )
         quick = now < max(self.cloud.fast_boots_until, store.answer_loss[0])
         return cut or state or frozen or down or lasting or copied or mute or users or quick
--- a/src/chalkgrade/region/users.py
+++ b/src/chalkgrade/region/users.py
@@ -115,10 +115,15 @@
 
     # All requests about a job go through these three, so that each answer is checked.
 
-    async def submit(self, name: str, member: str = "") -> tuple[int, Any] | None:
-        """Submit a job, for the first time or repeatedly; None: no answer."""
+    async def submit(
+        self, name: str, member: str = "", body: bytes | None = None
+    ) -> tuple[int, Any] | None:
+        """Submit a job, for the first time or repeatedly; None: no answer.
+
+        `body`: another spelling of the job's submission.
+        """
         return await self._checked_request(
-            name, "POST", "/v2/runs", self.jobs[name]["spec"], member
+            name, "POST", "/v2/runs", body or self.jobs[name]["spec"], member
         )
 
     async def query_status(self, name: str, member: str = "") -> tuple[int, Any] | None:
--- a/tests/test_repeated_submissions.py
+++ b/tests/test_repeated_submissions.py
@@ -7,10 +7,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import msgspec
 import pytest
 
 from chalkgrade.record.jobs import BATCH_PREFIX, END_PREFIX, JOB_PREFIX
+from chalkgrade.region.adversarial_users import respell
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
 from chalkgrade.serving.record_reader import RecordReader
@@ -161,16 +161,9 @@
 ]
 
 
-def _spelled_differently(spec: dict[str, Any]) -> bytes:
-    """Return the submission in another field order and with fields that nobody knows."""
-    fields = dict(reversed(list(spec.items())))
-    fields["old_nameId"] = "run-558702"
-    return msgspec.json.encode(fields)
-
-
 async def _repeat(world: World, name: str, member: str, answers: list[int]) -> None:
-    body = _spelled_differently(world.jobs[name]["spec"])
-    answer = await world._checked_request(name, "POST", "/v2/runs", body, member)
+    body = respell(world.jobs[name]["spec"], world.repeat_rng)
+    answer = await world.submit(name, member, body)
     if answer is not None:
         answers.append(answer[0])
 
