A submission whose counts are written as 4.0 or 4e0 is not refused

Callers saw: 400 to a sound submission, new or of an accepted job, whose `tasks` (or seats of a licence) was a whole JSON number with a fraction or an exponent, as some encoders write them. Cause: the decoder takes a literal with a fraction or exponent for a float, whatever its value. Change: where a submission does not decode, its whole counts are made integers and it is tried once more; 1.5, texts, true and infinite numbers are refused as before, with the same words. The job of a submission that is too long to be kept is named by the error.

--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -40,6 +40,10 @@
 class SubmissionTooLongError(SubmissionError):
     """A submission is too long to be stored; under higher limits it may be accepted already."""
 
+    def __init__(self, name: str) -> None:
+        super().__init__("the description is too long to be kept")
+        self.name = name  # of the job
+
 
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """A submission, with the platform's field names; times in seconds, sizes in GB."""
@@ -91,7 +95,7 @@
     The record may take `value_b` bytes; the dependency list is not counted and may be longer.
     """
     try:
-        spec = msgspec.json.decode(body, type=JobSpec)
+        spec = _decode_spec(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SubmissionError(str(error)) from None
     if not is_job_id(spec.nameId):
@@ -113,10 +117,36 @@
         # Repeated names count once, and an empty list is treated like a missing field.
         spec = msgspec.structs.replace(spec, waitsOn=list(dict.fromkeys(spec.waitsOn)) or None)
     if len(encode(without_dependencies(spec))) > value_b - constants.JOB_RECORD_OVERHEAD_BYTES:
-        raise SubmissionTooLongError("the description is too long to be kept")
+        raise SubmissionTooLongError(spec.nameId)
     return spec
 
 
+def _decode_spec(body: bytes) -> JobSpec:
+    """Decode a submission; a count may be any JSON number that is whole, such as 4.0 or 4e0."""
+    try:
+        return msgspec.json.decode(body, type=JobSpec)
+    except msgspec.ValidationError as error:
+        try:
+            return msgspec.convert(_with_whole_counts(body), JobSpec)
+        except msgspec.DecodeError:
+            raise error from None
+
+
+def _with_whole_counts(body: bytes) -> dict[str, Any]:
+    fields = msgspec.json.decode(body, type=dict[str, Any])
+    if "tasks" in fields:
+        fields["tasks"] = _whole_number(fields["tasks"])
+    seats = fields.get("licences")
+    if isinstance(seats, dict):
+        fields["licences"] = {pool: _whole_number(count) for pool, count in seats.items()}
+    return fields
+
+
+def _whole_number(value: Any) -> Any:
+    """Return a whole float as an integer, and anything else as it is."""
+    return int(value) if isinstance(value, float) and value.is_integer() else value
+
+
 def is_job_id(name: str) -> bool:
     """Whether a text is a valid job id."""
     return len(name) <= constants.MAX_JOB_ID_CHARS and JOB_ID_PATTERN.match(name) is not None
--- a/src/chalkgrade/serving/submissions.py
+++ b/src/chalkgrade/serving/submissions.py
@@ -101,7 +101,7 @@
         try:
             spec = parse_submission(body, self.ledger.limits.max_value_bytes)
         except SubmissionTooLongError as error:
-            name = msgspec.json.decode(body, type=JobSpec).nameId
+            name = error.name
             decision = await self._unless_accepted(name, _refusal(400, error, Route.LOCAL))
         except SubmissionError as error:
             return 400, {"error": str(error)}
@@ -116,8 +116,7 @@
         try:
             spec = parse_submission(body, self.ledger.limits.max_value_bytes)
         except SubmissionTooLongError as error:
-            name = msgspec.json.decode(body, type=JobSpec).nameId
-            decision = await self._unless_accepted(name, _refusal(400, error, Route.LEADER))
+            decision = await self._unless_accepted(error.name, _refusal(400, error, Route.LEADER))
             return decision.answer
         except SubmissionError as error:
             return 400, {"error": str(error)}
