Malformed requests cost no traceback, and a deeply nested report is refused with 400

Cause: errors of the HTTP parser went to the library's own handler; a decoder's RecursionError is no DecodeError and was caught for submissions only; the number was used as a key unchecked. Change: such requests are counted (`malformed` in the warning about connections, and at debug), nested reports and messages are refused as other malformed ones, odd numbers belong to no request.

--- a/src/chalkgrade/serving/connection_guard.py
+++ b/src/chalkgrade/serving/connection_guard.py
@@ -72,7 +72,8 @@
         self._states: dict[K, ConnectionState] = {}
         # Number of connections by state and kind.
         self._kind_counts = {state: dict.fromkeys(RequestKind, 0) for state in ConnectionState}
-        self.counts = {"late": 0, "crowded": 0, "idle": 0, "ended": 0, "refused": 0, "full": 0}
+        kinds = ("late", "crowded", "idle", "ended", "malformed", "refused", "full")
+        self.counts = dict.fromkeys(kinds, 0)
 
     def __len__(self) -> int:
         """Return the number of open connections."""
@@ -185,6 +186,10 @@
         """The other side closed a connection before its request was complete."""
         self.counts["ended"] += 1
 
+    def request_malformed(self) -> None:
+        """A request could not be parsed as HTTP; its connection is closed."""
+        self.counts["malformed"] += 1
+
     def _evict(self, key: K, reason: str) -> None:
         self.counts[reason] += 1
         self.connection_closed(key)
--- a/src/chalkgrade/serving/links.py
+++ b/src/chalkgrade/serving/links.py
@@ -129,7 +129,8 @@
 
     def message_received(self, message: dict[str, Any]) -> None:
         """Resolve the request that the message answers."""
-        future = self._pending.get(message.get("n", 0))
+        request_id = message.get("n")
+        future = self._pending.get(request_id) if isinstance(request_id, int) else None
         if future is not None and not future.done():
             future.set_result(message)
 
--- a/src/chalkgrade/serving/netstrings.py
+++ b/src/chalkgrade/serving/netstrings.py
@@ -58,6 +58,6 @@
                 raise FramingError("message is not followed by a comma")
             try:
                 out.append(msgspec.json.decode(self._buffer[colon + 1 : end], type=dict))
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
                 raise FramingError(f"message is not a JSON object: {error}") from None
             del self._buffer[: end + 1]
--- a/src/chalkgrade/serving/node.py
+++ b/src/chalkgrade/serving/node.py
@@ -455,7 +455,7 @@
     async def _handle_worker_report(self, body: bytes) -> Answer:
         try:
             report = msgspec.json.decode(body, type=Report)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             return 400, {"error": str(error)}
         if self.presence.is_superseded:
             return 421, {}
--- a/src/chalkgrade/serving/server.py
+++ b/src/chalkgrade/serving/server.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from chalkgrade import constants
 from chalkgrade.outside import encode
@@ -32,6 +33,15 @@
         self.connection_guard.data_received(self)
         super().data_received(data)
 
+    def log_exception(self, *args: Any, **kwargs: Any) -> None:
+        """Count a malformed request instead of logging a traceback for each."""
+        error = kwargs.get("exc_info")
+        if isinstance(error, (HttpProcessingError, web.RequestPayloadError)):
+            self.connection_guard.request_malformed()
+            log.debug("malformed request: %s", error)
+        else:
+            super().log_exception(*args, **kwargs)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Remove the connection."""
         self.connection_guard.connection_closed(self)
