--- a/src/chalkgrade/experiments/leaderless.py
+++ b/src/chalkgrade/experiments/leaderless.py
@@ -4,6 +4,7 @@
 submit new jobs at a steady rate.
 """
 
+import asyncio
 from typing import Any
 
 from chalkgrade.region.day import Day, Fault, Kind, Room, Work
@@ -15,10 +16,13 @@
 SIZES = (600, 2000, 4000)  # machines
 UNFINISHED_PER_MACHINE = 1.0  # jobs that wait for room
 CRASHES = 6
-FIRST_CRASH_S = 14.0
+PRELOAD_S = 40.0  # in which the jobs are submitted that wait
+FIRST_CRASH_S = 50.0
 CRASH_INTERVAL_S = 8.0
 NEW_JOBS_A_MINUTE = 300.0
 NEW_CLASS = "new"
+WAITING_CLASS = "long"
+WAITING_JOB_NUMBER = 500_000  # base of their numbers
 # State service and controllers of two deployments: requests and changes a second.
 DEPLOYMENTS = {
     "five_controllers": (5, StateLimits(150.0, 25.0, 16.0, 16)),
@@ -37,8 +41,7 @@
         kinds=[Kind("quad", 4.0, 16.0, 10.0, 0.3, 0.1)],
         rooms=[Room("quad", z, room, spot, room) for z in ZONES for spot in (True, False)],
         classes=[
-            Work("long", ["red"], tasks=(4, 8), run_s=(200.0, 300.0),
-                 at_start=int(machines * UNFINISHED_PER_MACHINE)),
+            Work(WAITING_CLASS, ["red"], tasks=(4, 8), run_s=(200.0, 300.0)),
             Work(NEW_CLASS, ["blue"], tasks=(1, 2), run_s=(5.0, 10.0),
                  a_minute=NEW_JOBS_A_MINUTE),
         ],
@@ -65,6 +68,18 @@
 
         self.store.handle = handle  # type: ignore[method-assign]
 
+    async def play(self) -> None:
+        """Run the day, with the jobs that wait submitted evenly before the first crash."""
+        work = next(work for work in self.day.classes if work.name == WAITING_CLASS)
+        machines = sum(room.count for room in self.day.rooms)
+        self.spawn(self._preload(work, int(machines * UNFINISHED_PER_MACHINE)))
+        await super().play()
+
+    async def _preload(self, work: Work, count: int) -> None:
+        for number in range(count):
+            self.spawn(self.user(self.job(WAITING_JOB_NUMBER + number, work), None))
+            await asyncio.sleep(PRELOAD_S / count)
+
     def record_status(self, name: str, answer: dict[str, Any], asked: float | None = None) -> None:
         """Record the first time at which a user was told of a job."""
         self.accepted_at.setdefault(name, self.now)
--- a/tests/test_repeated_submissions.py
+++ b/tests/test_repeated_submissions.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
 import pytest
 
 from chalkgrade.record.jobs import BATCH_PREFIX, END_PREFIX, JOB_PREFIX
@@ -222,3 +223,22 @@
     monkeypatch.setattr(RecordReader, "status_in", unknown)
     with pytest.raises(Broken, match="forgotten.*accepted as new"):
         tell(story, 5, loss=0.0)
+
+
+def test_a_known_job_is_not_refused_because_the_leader_has_lower_limits() -> None:
+    async def story(world: World) -> None:
+        name = _add_job(world, 1, bundle="image-" + "x" * 3000)
+        await _accept(world, name, world.leaders()[0])
+        leader = _acting_leader(world)
+        assert leader is not None
+        limits = leader.ledger.limits
+        limits.minimum = msgspec.structs.replace(limits.minimum, value_kb=2.0)
+        new = _add_job(world, 2, bundle="image-" + "x" * 3000)
+        for member in world.members:
+            answer = await world.submit(name, member)
+            assert answer is not None and answer[0] == 200, (member, answer)
+            spec = msgspec.json.encode(world.jobs[new]["spec"])
+            refused = await world.send_request("POST", "/v2/runs", spec, member)
+            assert refused is not None and refused[0] == 400, (member, refused)
+
+    tell(story, 2, loss=0.0)
