--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -187,6 +187,9 @@
             page = await client.call(leader.settings.bind, "GET", "/metrics", None, 9.0)
             assert b"chalkgrade_leading 1.0" in page.body
             assert b'chalkgrade_tasks_standing{class="c",reason=' in page.body
+            page = await client.call(at, "GET", "/metrics", None, 9.0)
+            labels = b'evidence="nothing",outcome="created",route="leader"'
+            assert b"chalkgrade_submissions_total{" + labels + b"} 1.0" in page.body
             await leader.stop()
             await _until(lambda: follower.node.term is not None and follower.node.term.is_serving())
             reply = await client.call(at, "GET", "/v2/runs/run-000001", None, 9.0)
--- a/tests/test_late_rentals.py
+++ b/tests/test_late_rentals.py
@@ -10,12 +10,11 @@
 import msgspec
 import pytest
 
-from chalkgrade.machines.fleet import Fleet
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
-from chalkgrade.renting.renter import Renter
 from test_gap import _long_job
 from test_membership import _acting_leader, _wait_until
+from test_quick_boots import _only_its_own
 
 TROUBLE_S = 60.0
 LATE_S = (1.0, 20.0)  # delay of a request that is carried out late
@@ -139,21 +138,6 @@
     _play(seed)
 
 
-def _only_its_own(patch: pytest.MonkeyPatch) -> None:
-    """A leader passes over machines that it did not rent itself."""
-    plain = Fleet.accept_report
-
-    def accept_own(self: Fleet, report: Any) -> Any:
-        known = self.machines.get(report.host)
-        return plain(self, report) if known is not None and known.rented_this_term else None
-
-    async def refresh(self: Renter) -> None:
-        pass
-
-    patch.setattr(Fleet, "accept_report", accept_own)
-    patch.setattr(Renter, "_refresh_machines", refresh)
-
-
 def test_machines_that_are_neither_adopted_nor_returned_are_found(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
