The second try, final states and pending answers of submissions are each written once

Cause: a reading of the whole change. The second try of a direct commit was steered by a flag and ended in a line that was never reached; a final key was decoded in three places of the record reader; the answer for a pending job, the list of unfinished jobs in the region, and in the tests a small job and a second record were each written twice. Change: one piece each (pending_answer, _remember_end, _unfinished_jobs, _any_machine_job, _write_second_record).

--- a/src/chalkgrade/region/adversarial_users.py
+++ b/src/chalkgrade/region/adversarial_users.py
@@ -150,8 +150,9 @@
     # -- repeated submissions ---------------------------------------------------------
 
     async def repeat_submissions(self) -> None:
-        """Submit unfinished jobs again at all controllers while the leader changes, until the set
-        time; each time in another spelling.
+        """Submit unfinished jobs again at all controllers while the leader changes.
+
+        Each time in another spelling; until the set time.
         """
         leaders, changed_at = self.leaders(), 0.0
         while self.now < self.repeats_until:
@@ -160,14 +161,16 @@
                 leaders, changed_at = self.leaders(), self.now
             if leaders and self.now > changed_at + AFTER_LEADER_CHANGE_S:
                 continue
-            unfinished = [
-                name for name, job in self.jobs.items() if job["accepted"] and job["over"] is None
-            ]
+            unfinished = self._unfinished_jobs()
             count = min(REPEATED_JOBS, len(unfinished))
             for name in self.repeat_rng.sample(unfinished, count):
                 for member in self.members:
                     self.spawn(self._repeat_submission(name, member))
 
+    def _unfinished_jobs(self) -> list[str]:
+        """The accepted jobs that are not known to be over."""
+        return [name for name, job in self.jobs.items() if job["accepted"] and job["over"] is None]
+
     async def _repeat_submission(self, name: str, member: str) -> None:
         if self.up(member):
             self.repeated_submissions += 1
@@ -182,10 +185,9 @@
             await asyncio.sleep(self.rng.uniform(0.0, 2 * ODD_REQUEST_INTERVAL_S))
             request_kind = self.rng.randrange(3)
             if request_kind == 0:
-                open_ones = [n for n, job in self.jobs.items() if job["accepted"]]
-                open_ones = [n for n in open_ones if self.jobs[n]["over"] is None]
-                if open_ones:
-                    await self._resubmit(self.rng.choice(open_ones))
+                unfinished = self._unfinished_jobs()
+                if unfinished:
+                    await self._resubmit(self.rng.choice(unfinished))
             elif request_kind == 1:
                 over = [n for n, job in self.jobs.items() if job["over"] == "done"]
                 if over:
--- a/src/chalkgrade/region/users.py
+++ b/src/chalkgrade/region/users.py
@@ -139,7 +139,7 @@
     ) -> tuple[int, Any] | None:
         asked = self.now
         member = member or self._choose_controller()
-        answer = await self.send_request(method, path, body, member) if member else None
+        answer = await self.send_request(method, path, body, member)
         self.check_answer(name, asked, answer, member)
         return answer
 
--- a/src/chalkgrade/serving/direct_commit.py
+++ b/src/chalkgrade/serving/direct_commit.py
@@ -17,7 +17,12 @@
 from chalkgrade.serving.dependency_check import DependencyCheck
 from chalkgrade.serving.job_api import JobApi
 from chalkgrade.serving.job_status import FINAL_STATUSES
-from chalkgrade.serving.record_reader import RETRY_LATER, Answer, RecordSummary
+from chalkgrade.serving.record_reader import (
+    RETRY_LATER,
+    Answer,
+    RecordSummary,
+    pending_answer,
+)
 from chalkgrade.serving.submission_outcome import Decision, Evidence, Route
 from chalkgrade.state.client import Conflict, LedgerClient, NotExecuted, Rejected
 
@@ -48,13 +53,19 @@
             if refusal is not None:
                 return Decision((422, {"error": refusal}), Route.OWN_COMMIT)
         value = JobValue(spec, self._clock.wall())
-        decision = await self._try_commit(value, is_last=False)
-        if decision is None:
-            decision = await self._try_commit(value, is_last=True)
-        return decision or Decision(RETRY_LATER, Route.OWN_COMMIT)
+        try:
+            return await self._try_commit(value)
+        except NotExecuted:
+            await asyncio.sleep(constants.COMMIT_RETRY_INTERVAL_S)
+            return await self._try_commit(value)
+        except NoAnswer:
+            return await self._try_commit(value)
+
+    async def _try_commit(self, value: JobValue) -> Decision:
+        """Commit a job of which no record was found.
 
-    async def _try_commit(self, value: JobValue, is_last: bool) -> Decision | None:
-        """Commit a job of which no record was found; None if it should be tried again."""
+        Raises NotExecuted, or NoAnswer if it is unknown whether the commit was executed.
+        """
         name = value.spec.nameId
         try:
             await self._commit(value)
@@ -63,17 +74,12 @@
             return await self._known(name, Evidence.FINAL_KEY if is_over else Evidence.OWN_KEY)
         except Rejected as error:
             return Decision((400, {"error": f"can't be kept: {error}"}), Route.OWN_COMMIT)
-        except NotExecuted:
-            if is_last:
-                raise
-            await asyncio.sleep(constants.COMMIT_RETRY_INTERVAL_S)
-            return None
         except NoAnswer:
             decision = await self._outcome_of_lost_answer(name)
-            if decision is None and is_last:
+            if decision is None:
                 raise
             return decision
-        return Decision((201, _pending(name)), Route.OWN_COMMIT)
+        return Decision((201, pending_answer(name)), Route.OWN_COMMIT)
 
     async def _commit(self, value: JobValue) -> None:
         """Write a job's own record, on the condition that it has none and is not over.
@@ -123,7 +129,3 @@
     if known[1]["status"] == "done":
         return Evidence.FINAL_KEY
     return Evidence.BATCH if record.in_batch else Evidence.OWN_KEY
-
-
-def _pending(name: str) -> dict[str, object]:
-    return {"nameId": name, "status": "pending", "done": 0, "running": 0}
--- a/src/chalkgrade/serving/record_reader.py
+++ b/src/chalkgrade/serving/record_reader.py
@@ -23,6 +23,11 @@
 UNKNOWN_JOB: Answer = (404, {"error": "no such job"})
 
 
+def pending_answer(name: str) -> dict[str, Any]:
+    """Return the answer for an accepted job of which nothing more is known."""
+    return {"nameId": name, "status": "pending", "done": 0, "running": 0}
+
+
 class _SpecSummary(msgspec.Struct):
     """The part of a job's specification that queries need."""
 
@@ -126,6 +131,10 @@
         row = await self.ledger.get(END_PREFIX + name)
         if row is None:
             raise NoAnswer("the final key was found and is not read")
+        return self._remember_end(name, row)
+
+    def _remember_end(self, name: str, row: Row) -> dict[str, Any]:
+        """Store the final state under a job's final key, and return the answer for it."""
         end = msgspec.json.decode(row.v, type=EndValue)
         return self.remember_final_state(name, end.status, end.tasks)
 
@@ -158,8 +167,7 @@
         if check_final_key or not in_book:
             row = await self._shared_read(END_PREFIX + name)
             if row is not None:
-                end = msgspec.json.decode(row.v, type=EndValue)
-                return 200, self.remember_final_state(name, end.status, end.tasks)
+                return 200, self._remember_end(name, row)
         return RETRY_LATER if told is None else (200, told)
 
     async def _record_under_key(self, name: str, key: str) -> RecordSummary | None:
@@ -202,8 +210,7 @@
             record.has_dependencies and await self.is_cancelled_by_dependency(name, records)
         ):
             return self.remember_final_state(name, "withdrawn", 0)
-        unknown = {"nameId": name, "status": "pending", "done": 0, "running": 0}
-        return self.last_leader_answers.get(name, unknown)
+        return self.last_leader_answers.get(name, pending_answer(name))
 
     async def read_unfinished_jobs(self) -> dict[str, RecordSummary]:
         """Return all unfinished jobs, by a scan that starts after this call.
@@ -297,6 +304,4 @@
         row = await self.ledger.get(END_PREFIX + name)
         if row is None:
             return None
-        end = msgspec.json.decode(row.v, type=EndValue)
-        self.remember_final_state(name, end.status, end.tasks)
-        return end.status
+        return str(self._remember_end(name, row)["status"])
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -244,17 +244,14 @@
             assert term.writer.in_flight.keys_of(name) or status in FINAL_STATUSES, "still open"
 
 
-async def _accept_twice(world: LostResponses, name: str, member: str) -> None:
+async def _write_second_record(world: World, name: str, member: str) -> None:
     """Give a job in a batch a second record, as a controller does that read before the batch."""
     node = world.nodes[member]
     assert node is not None
-    await asyncio.sleep(constants.PEER_REQUEST_TIMEOUT_S)  # it asked the leader in vain
     record = {"spec": world.jobs[name]["spec"], "at": world.now}
     key = JOB_PREFIX + name
-    await world.run_as(
-        member,
-        node.ledger.commit({key: 0, END_PREFIX + name: 0}, [{"write": key, "v": record}]),
-    )
+    created = node.ledger.commit({key: 0, END_PREFIX + name: 0}, [{"write": key, "v": record}])
+    await world.run_as(member, created)
 
 
 async def _accept_response_lost(world: LostResponses) -> None:
@@ -311,7 +308,8 @@
     world.holds = _writes(BATCH_PREFIX)
     world.spawn(world.submit(name, first))
     await _wait_until(world, 5.0, lambda: world.executed)
-    await _accept_twice(world, name, other)
+    await asyncio.sleep(constants.PEER_REQUEST_TIMEOUT_S)  # it asked the leader in vain
+    await _write_second_record(world, name, other)
     term = leader.job_api.term
     assert term is not None
     await _wait_until(world, 5.0, lambda: name in term.jobs and name in term.registry.admissions)
@@ -344,7 +342,8 @@
     while world.jobs[name]["over"] is None:
         await world.abort(name, first)
     world.cut({other}, {first}, 5.0, False)
-    await _accept_twice(world, name, other)
+    await asyncio.sleep(constants.PEER_REQUEST_TIMEOUT_S)  # it asked the leader in vain
+    await _write_second_record(world, name, other)
     answer = None
     while answer is None or answer[0] not in (200, 201):
         answer = await world.submit(name, other)
--- a/tests/test_repeated_submissions.py
+++ b/tests/test_repeated_submissions.py
@@ -15,7 +15,9 @@
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
 from chalkgrade.serving.record_reader import RecordReader
+from test_answers import _write_second_record
 from test_membership import _acting_leader, _give_lead, _wait_until
+from test_restarts import _any_machine_job
 
 TROUBLE_S = 6.0  # for which jobs are submitted again
 REPEAT_INTERVAL_S = 0.3
@@ -30,19 +32,10 @@
 
 def _add_job(world: World, number: int, **changes: Any) -> str:
     """Make a small job known to the rules; returns its name."""
-    plain = {"jobclass": "small", "owner": "blue", "shape": "batch", "tasks": 2, "vcpus": 1.0}
-    plain |= {"memoryGb": 1.0, "hosttypes": None, "site": None, "oneZone": False, "spread": False}
-    plain |= {"standby": True, "savepointS": 0.0, "dueS": None, "expectedS": 60.0}
-    spec = world.spec(number, **(plain | changes))
-    world.jobs[spec["nameId"]] = {
-        "spec": spec,
-        "aborted": None,
-        "accepted": False,
-        "over": None,
-        "at": world.now,
-        "replicas": set(),
-    }
-    return str(spec["nameId"])
+    spec = _any_machine_job(world, number, **({"tasks": 2, "expectedS": 60.0} | changes))
+    name = str(spec["nameId"])
+    world.jobs[name] |= {"accepted": False, "at": world.now, "replicas": set()}
+    return name
 
 
 def _followers(world: World) -> list[str]:
@@ -85,12 +78,7 @@
 
 async def _under_both(world: World, name: str) -> None:
     await _in_batch(world, name)
-    node = world.nodes[_followers(world)[0]]
-    assert node is not None
-    record = {"spec": world.jobs[name]["spec"], "at": world.now}
-    key = JOB_PREFIX + name
-    created = node.ledger.commit({key: 0, END_PREFIX + name: 0}, [{"write": key, "v": record}])
-    await world.run_as(node.settings.member, created)
+    await _write_second_record(world, name, _followers(world)[0])
 
 
 async def _waiting(world: World, name: str) -> None:
