--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -76,6 +76,7 @@
         self.tokens = {"rps": limits["rps"], "write_rps": limits["write_rps"]}
         self.tokens_at = now()
         self.statuses = {}
+        self.encode = None  # hook(request, body) -> headers, body
 
     def _spend(self, kind, amount):
         passed, self.tokens_at = now() - self.tokens_at, now()
@@ -667,7 +668,10 @@
             if service is self.state:
                 counts = self.state.statuses
                 counts[status] = counts.get(status, 0) + 1
-            return web.Response(status=status, body=json.dumps(body, separators=(",", ":")).encode(),
+            raw, headers = json.dumps(body, separators=(",", ":")).encode(), {}
+            if service is self.state and self.state.encode is not None:
+                headers, raw = self.state.encode(request, raw)
+            return web.Response(status=status, body=raw, headers=headers,
                                 content_type="application/json")
         runner = web.ServerRunner(web.Server(handler, access_log=None))
         await runner.setup()
