--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -30,15 +30,22 @@
 
 
 def free_ports(count):
-    """Return ports of the loopback address that nobody listens on now."""
-    held, ports = [], []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        held.append(sock)
-        ports.append(sock.getsockname()[1])
-    for sock in held:
-        sock.close()
+    """Return loopback ports that nobody listens on, below those of outgoing connections."""
+    try:
+        low = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    except (OSError, ValueError):
+        low = 32768
+    low = low if low > 12000 else 32768
+    draw, ports = random.SystemRandom(), []
+    while len(ports) < count:
+        port = draw.randrange(low - 10000, low)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
