A job's memory grows with the tasks that were started, and the sum over jobs has a limit

Cause: a job kept the numbers of all its waiting tasks in a list and a set, 8,188,334 bytes for 100,000 tasks however few of them run, and nothing bounded the sum over jobs before 201 was said.

Change: tasks are bits in pages that exist from the first start of one of their tasks on (record/task_sets.py). Unfinished jobs may take 0.4 of cluster.quota.ram_mb, counted from the stored record with all tasks started (record/memory.py); the leader, a controller that commits a submission itself and the next leader ask the same count. Beyond it new jobs get 429 with Retry-After, known ones their status.

Why it works: what a job can come to take is known from its record, so no later start, end or leader makes it more.

--- a/src/chalkgrade/constants.py
+++ b/src/chalkgrade/constants.py
@@ -220,6 +220,14 @@
 JOB_RECORD_OVERHEAD_BYTES: Final = 128  # a job's record beside its submission
 MAX_JOB_ID_CHARS: Final = 100  # keeps the job's keys below 200 bytes
 LOG_ENTRY_BASE_BYTES: Final = 64  # a log entry without its operations
+# Ratio of a controller's memory that unfinished jobs may take; the process, its machines and the
+# messages under way need the rest.
+JOBS_MEMORY_RATIO: Final = 0.4
+JOB_MEMORY_BYTES: Final = 6 * 1024  # memory of a job beside its record and its pages
+# Memory of a job's record as a multiple of its stored size: while a new leader loads it, the row,
+# the decoded value and the encoded record exist at once.
+RECORD_MEMORY_RATIO: Final = 4
+PAGE_MEMORY_BYTES: Final = 768  # memory of a page of tasks without their live attempts
 
 # --- workers and machines -----------------------------------------------------
 # Workers give up on an answer at 4 s. A report's answer may wait this long for the commit of its
@@ -375,6 +383,7 @@
 MAX_PENDING_READS: Final = 64
 MAX_CACHED_FINAL_STATES: Final = 20_000  # kept in memory on each controller
 RETRY_AFTER_S: Final = 1  # sent to a user when nothing can be decided
+MEMORY_RETRY_AFTER_S: Final = 10  # sent to a user when there is no memory for another job
 # Connections are limited to ratios of the sockets that the platform allows, so that the limits
 # fit a fleet of any size.
 MIN_SOCKETS: Final = 32  # a setting below this is taken for a mistake
--- a/src/chalkgrade/leading/scheduling.py
+++ b/src/chalkgrade/leading/scheduling.py
@@ -80,6 +80,9 @@
         """Returns the metrics of jobs, machines and tasks."""
         jobs = self.registry.jobs.values()
         yield gauge("jobs", "Jobs that are not over", len(jobs))
+        memory = self.registry.memory
+        yield gauge("job_memory_bytes", "Memory counted for these jobs", memory.held_bytes)
+        yield gauge("job_memory_limit_bytes", "Most that they may take", memory.limit_bytes)
         yield gauge("machines", "Machines known", len(self.fleet.machines))
         set_aside = self.isolation.set_aside_count()
         yield gauge("jobs_set_aside", "Jobs left out after an internal error", set_aside)
--- a/src/chalkgrade/leading/term.py
+++ b/src/chalkgrade/leading/term.py
@@ -233,17 +233,18 @@
 
     def has_job(self, name: str) -> bool:
         """Returns whether the term has a record of the job, live, over or unreadable."""
-        registry = self.registry
-        return name in registry.jobs or name in registry.over or name in registry.unreadable
+        return self.registry.has_record(name)
 
     async def submit(self, spec: JobSpec) -> bool:
         """Accepts a job, committed in a batch with others; False if it is already known.
 
-        Raises `Unavailable` if the term can't answer at present.
+        Raises `Unavailable` if the term can't answer at present, and `JobMemoryFullError` if
+        there is no memory for another job.
         """
         if not self.is_serving():
             raise Unavailable
         value = JobValue(spec, self.clock.wall())
+        self.registry.check_memory(value)  # before a part of the record is stored
         if spec.waitsOn is not None:
             try:
                 value = await dependency_lists.store_if_too_long(self.context.ledger, value)
--- a/src/chalkgrade/record/jobs.py
+++ b/src/chalkgrade/record/jobs.py
@@ -12,9 +12,7 @@
 accepted job is found under one of the first two or under the last.
 """
 
-import heapq
 import re
-from collections.abc import Iterable, Iterator
 from typing import Any, Literal
 
 import msgspec
@@ -22,6 +20,7 @@
 from chalkgrade import constants
 from chalkgrade.outside import encode
 from chalkgrade.record.oplog import DONE, FAILED, INTERRUPTED, Op, OpLog, page_number
+from chalkgrade.record.task_sets import DoneTasks, WaitingTasks
 
 BATCH_PREFIX = "cg/in/"
 JOB_PREFIX = "cg/job/"
@@ -269,10 +268,10 @@
 
     __slots__ = ("key", "next_try", "done", "live", "stamp", "durable_lsn")
 
-    def __init__(self, key: str) -> None:
+    def __init__(self, key: str, number: int) -> None:
         self.key = key
         self.next_try = 1
-        self.done: set[int] = set()
+        self.done = DoneTasks(number)
         self.live: dict[int, Attempt] = {}
         self.stamp = 0
         self.durable_lsn = 0  # the log entry up to which the stored checkpoint goes
@@ -281,76 +280,13 @@
         """Return its checkpoint; `failed` are machines on which the job failed."""
         return PageValue(
             self.next_try,
-            _ranges(self.done),
+            self.done.ranges(),
             {index: (a.number, a.machine) for index, a in self.live.items()},
             upto,
             failed,
         )
 
 
-def _ranges(numbers: Iterable[int]) -> list[tuple[int, int]]:
-    """Combine numbers into ranges of consecutive ones, both ends included."""
-    out: list[tuple[int, int]] = []
-    for number in sorted(numbers):
-        if out and out[-1][1] == number - 1:
-            out[-1] = (out[-1][0], number)
-        else:
-            out.append((number, number))
-    return out
-
-
-class WaitingTasks:
-    """The tasks of a job that have no attempt, ordered by number.
-
-    An interrupted task comes before those that were never started. Each operation takes
-    amortised logarithmic time in the number of tasks.
-    """
-
-    def __init__(self, count: int) -> None:
-        """Start with all of a job's `count` tasks waiting."""
-        self._heap = list(range(count))  # may contain tasks that no longer wait
-        self._members = set(self._heap)
-
-    def __len__(self) -> int:
-        return len(self._members)
-
-    def __contains__(self, index: int) -> bool:
-        return index in self._members
-
-    def __iter__(self) -> Iterator[int]:
-        return iter(sorted(self._members))
-
-    def add(self, index: int) -> None:
-        """Add a task."""
-        if index not in self._members:
-            self._members.add(index)
-            heapq.heappush(self._heap, index)
-
-    def remove(self, index: int) -> bool:
-        """Remove a task; returns whether it was waiting."""
-        if index not in self._members:
-            return False
-        self._members.remove(index)
-        return True
-
-    def lowest(self, skip: set[int]) -> int | None:
-        """Return the lowest waiting task that is not in `skip`, or None."""
-        skipped = []
-        lowest = None
-        while self._heap:
-            index = self._heap[0]
-            if index not in self._members:
-                heapq.heappop(self._heap)
-            elif index in skip:
-                skipped.append(heapq.heappop(self._heap))
-            else:
-                lowest = index
-                break
-        for index in skipped:
-            heapq.heappush(self._heap, index)
-        return lowest
-
-
 class Job:
     """An unfinished job in the leader's memory."""
 
@@ -427,7 +363,7 @@
         number = page_number(index)
         page = self.pages.get(number)
         if page is None:
-            page = self.pages[number] = Page(f"{TASK_PREFIX}{self.name}/{number}")
+            page = self.pages[number] = Page(f"{TASK_PREFIX}{self.name}/{number}", number)
         return page
 
     def load_page(self, number: int, value: PageValue, stamp: int) -> None:
--- a/src/chalkgrade/record/loading.py
+++ b/src/chalkgrade/record/loading.py
@@ -24,7 +24,7 @@
     PageValue,
     RawBatchValue,
 )
-from chalkgrade.record.oplog import LOG_PREFIX, OpLog, SegmentValue, page_number
+from chalkgrade.record.oplog import LOG_PREFIX, SegmentValue, page_number
 from chalkgrade.record.registry import JobRegistry
 from chalkgrade.state.client import Row
 
@@ -43,25 +43,19 @@
         No other leader can change the record meanwhile: older tokens are fenced.
         """
         registry = self._registry
-        registry.jobs.clear()
-        registry.unreadable.clear()
-        registry.aborting.clear()
-        registry.ending.clear()
-        registry.oplog = OpLog(registry.limits.max_value_bytes)
+        registry.clear()
         await self._load_persisted_values()
         rows, registry.revision = await registry.ledger.scan(JOB_PREFIX)
         for row in rows:
             await registry.load_record(row.k, row.v, row.stamp, observe=False)
-        registry.batches.clear()
         rows, _ = await registry.ledger.scan(BATCH_PREFIX)
         for row in rows:
             await self._load_batch(row)
         rows, _ = await registry.ledger.scan(TASK_PREFIX)
-        registry.orphan_keys.clear()
         for row in rows:
             self._load_page(row)
         for name in registry.unreadable:
-            registry.jobs.pop(name, None)
+            registry.remove(name)
         await self._replay_log()
         # A page can be newer than all remaining segments.
         pages = [page for job in registry.jobs.values() for page in job.pages.values()]
--- a/src/chalkgrade/record/registry.py
+++ b/src/chalkgrade/record/registry.py
@@ -35,6 +35,7 @@
     JobValue,
     Page,
 )
+from chalkgrade.record.memory import JobMemory, job_memory_limit_bytes
 from chalkgrade.record.oplog import LogFlush, OpLog, PageName
 from chalkgrade.state.client import Compacted, NotExecuted
 from chalkgrade.state.leader_context import LeaderContext
@@ -64,6 +65,9 @@
         self.remember_final_state = remember  # reports final states to the job API
         self.on_job_added = on_job  # called with each added job; True: just submitted
         self.jobs: dict[str, Job] = {}
+        self.memory = JobMemory(
+            job_memory_limit_bytes(context.settings.cluster.quota), self.limits.max_value_bytes
+        )
         self.over = RecentEnds()  # jobs whose end is durable
         # Jobs with a record or page that can't be read: neither scheduled nor removed.
         self.unreadable: set[str] = set()
@@ -128,6 +132,7 @@
             self.update_ending(job)
             return
         job = self.jobs[name] = Job(value, stamp, self.oplog, batch)
+        self.memory.hold(value)
         if job.in_pipeline:
             job.block()  # until all its dependencies are known to be done
         log.debug(
@@ -138,6 +143,22 @@
         )
         self.on_job_added(job, observe)
 
+    def remove(self, name: str) -> None:
+        """Remove a job that is over or can't be read."""
+        self.jobs.pop(name, None)
+        self.memory.release(name)
+
+    def clear(self) -> None:
+        """Remove all jobs and what is pending for them, before the record is read."""
+        self.jobs.clear()
+        self.memory.clear()
+        self.unreadable.clear()
+        self.aborting.clear()
+        self.ending.clear()
+        self.batches.clear()
+        self.orphan_keys.clear()
+        self.oplog = OpLog(self.limits.max_value_bytes)
+
     async def watch_submissions(self) -> None:
         """Follow the submissions that other nodes commit; runs until cancelled."""
         while True:
@@ -167,18 +188,31 @@
 
     # -- writing ------------------------------------------------------------------
 
+    def check_memory(self, value: JobValue) -> None:
+        """Raise JobMemoryFullError if a job is not known and there is no memory for it."""
+        name = value.spec.nameId
+        if not self.has_record(name) and name not in self.admissions:
+            self.memory.check_room(value)
+
+    def has_record(self, name: str) -> bool:
+        """Whether a job is on record: unfinished, over or unreadable."""
+        return name in self.jobs or name in self.over or name in self.unreadable
+
     async def admit(self, value: JobValue, timeout: float) -> bool:
         """Make a submission durable, together with others in one change.
 
         Returns True only to the caller whose submission created the job, so that no user was told
         of it before. False means that the job was known already and its status must be looked
-        up. Raises NoAnswer after `timeout` seconds; the job may then be accepted or not.
+        up. Raises NoAnswer after `timeout` seconds; the job may then be accepted or not. Raises
+        JobMemoryFullError if there is no memory for another job.
         """
         name = value.spec.nameId
-        if name in self.jobs or name in self.over or name in self.unreadable:
+        if self.has_record(name):
             return False  # includes one with an open commit here and a record of its own
         earlier_admission = admission = self.admissions.get(name)
         if admission is None:
+            self.check_memory(value)
+            self.memory.hold(value)
             future = asyncio.get_running_loop().create_future()
             admission = self.admissions[name] = Admission(
                 value, dependency_lists.encode_record(value), future
@@ -259,7 +293,10 @@
 
     def resolve_admission(self, admission: Admission, accepted: bool) -> None:
         """Finish a submission; `accepted` is False if a node had accepted the job before."""
-        self.admissions.pop(admission.value.spec.nameId, None)
+        name = admission.value.spec.nameId
+        self.admissions.pop(name, None)
+        if not accepted and name not in self.jobs:
+            self.memory.release(name)
         if not admission.result.done():
             admission.result.set_result(accepted)
 
@@ -358,7 +395,7 @@
         stays_in_batch = batch is not None and not self._can_rewrite(batch, edits)
 
         def ended(revision: int) -> None:
-            self.jobs.pop(job.name, None)
+            self.remove(job.name)
             self.ending.pop(job, None)
             if job in self.aborting:
                 self.aborting.remove(job)  # completed before the abort was written
--- a/src/chalkgrade/region/ground.py
+++ b/src/chalkgrade/region/ground.py
@@ -34,6 +34,7 @@
     LEASE_S, CANCEL_S, REPORT_S, GANG_WAIT_S = 12.0, 32.0, 3.0, 20.0
     STATE: dict[str, Any] = {"rps": 200, "write_rps": 40, "txn_ops": 16, "value_kb": 16}
     CLOUD: dict[str, Any] = {"rps": 5, "list_lag_s": 2}
+    QUOTA: dict[str, Any] = {}  # limits of the platform for each controller
     TEAMS: tuple[dict[str, Any], ...] = (
         {"name": "red", "cpus": 12, "cpus_max": 20},
         {"name": "blue", "cpus": 0, "cpus_max": 0},
@@ -122,6 +123,7 @@
                     },
                     "state": self.STATE,
                     "cloud": self.CLOUD,
+                    "quota": self.QUOTA,
                 },
             },
             kind,
--- a/src/chalkgrade/serving/direct_commit.py
+++ b/src/chalkgrade/serving/direct_commit.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
 
@@ -14,10 +15,12 @@
 from chalkgrade.outside import Clock, NoAnswer
 from chalkgrade.record import dependency_lists
 from chalkgrade.record.jobs import END_PREFIX, JOB_PREFIX, JobSpec, JobValue
+from chalkgrade.record.memory import job_memory_bytes
 from chalkgrade.serving.dependency_check import DependencyCheck
 from chalkgrade.serving.job_api import JobApi
 from chalkgrade.serving.job_status import FINAL_STATUSES
 from chalkgrade.serving.record_reader import (
+    MEMORY_FULL,
     RETRY_LATER,
     Answer,
     RecordSummary,
@@ -31,12 +34,19 @@
     """Commits submissions on behalf of one node."""
 
     def __init__(
-        self, ledger: LedgerClient, clock: Clock, job_api: JobApi, dependency_check: DependencyCheck
+        self,
+        ledger: LedgerClient,
+        clock: Clock,
+        job_api: JobApi,
+        dependency_check: DependencyCheck,
+        memory_limit_bytes: float,
     ) -> None:
+        """`memory_limit_bytes`: see `record.memory.job_memory_limit_bytes`."""
         self._ledger = ledger
         self._clock = clock
         self._job_api = job_api
         self._dependency_check = dependency_check
+        self._memory_limit_bytes = memory_limit_bytes
 
     async def submit(self, spec: JobSpec) -> Decision:
         """Accept a job unless it is known or refused.
@@ -53,6 +63,8 @@
             if refusal is not None:
                 return Decision((422, {"error": refusal}), Route.OWN_COMMIT)
         value = JobValue(spec, self._clock.wall())
+        if self._is_memory_full(value, records.values()):
+            return Decision(MEMORY_FULL, Route.OWN_COMMIT)
         try:
             return await self._try_commit(value)
         except NotExecuted:
@@ -61,6 +73,12 @@
         except NoAnswer:
             return await self._try_commit(value)
 
+    def _is_memory_full(self, value: JobValue, records: Iterable[RecordSummary]) -> bool:
+        """Whether the next leader could not hold another job beside those on record."""
+        job_bytes = job_memory_bytes(value, self._ledger.limits.max_value_bytes)
+        held_bytes = sum(record.memory_bytes for record in records)
+        return held_bytes + job_bytes > self._memory_limit_bytes
+
     async def _try_commit(self, value: JobValue) -> Decision:
         """Commit a job of which no record was found.
 
--- a/src/chalkgrade/serving/record_reader.py
+++ b/src/chalkgrade/serving/record_reader.py
@@ -15,11 +15,13 @@
 from chalkgrade.outside import NoAnswer
 from chalkgrade.record import dependency_lists
 from chalkgrade.record.jobs import BATCH_PREFIX, END_PREFIX, JOB_PREFIX, EndValue
+from chalkgrade.record.memory import record_memory_bytes
 from chalkgrade.serving.lookups import Lookups
 from chalkgrade.state.client import LedgerClient, Row
 
 Answer = tuple[int, dict[str, Any]]  # HTTP status and body
 RETRY_LATER: Answer = (503, {"error": "can't be decided now, come back"})
+MEMORY_FULL: Answer = (429, {"error": "too many unfinished jobs, come back"})
 UNKNOWN_JOB: Answer = (404, {"error": "no such job"})
 
 
@@ -33,6 +35,7 @@
 
     nameId: str
     shape: str = ""
+    tasks: int = 1
     waitsOn: list[str] | None = None
 
 
@@ -44,6 +47,12 @@
     apart: tuple[str, int] | None = None  # where `waitsOn` is stored, if under a key of its own
     doubtful: bool = False  # the job may have finished: its final key decides
     in_batch: bool = False  # it was found in a batch
+    stored_bytes: int = 0  # its size; in a batch the mean of the batch
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the most bytes of memory that the job takes of the leader."""
+        return record_memory_bytes(self.stored_bytes, self.spec.tasks)
 
     @property
     def has_dependencies(self) -> bool:
@@ -236,8 +245,10 @@
         unbatched = set(records)
         rows, _ = await self.ledger.scan(BATCH_PREFIX)
         for row in rows:
-            for record in msgspec.json.decode(row.v, type=BatchSummary).jobs:
+            batch = msgspec.json.decode(row.v, type=BatchSummary).jobs
+            for record in batch:
                 record.doubtful = len(row.v) > self.ledger.limits.max_value_bytes
+                record.stored_bytes = self._stored_bytes(record, len(row.v) // len(batch))
                 first = records.setdefault(record.spec.nameId, record)
                 first.in_batch = True
                 # A job's own record is removed by the commit that writes its final key, so while it
@@ -257,8 +268,17 @@
 
     async def _scan_own_records(self) -> dict[str, RecordSummary]:
         rows, _ = await self.ledger.scan(JOB_PREFIX)
-        records = [msgspec.json.decode(row.v, type=RecordSummary) for row in rows]
-        return {record.spec.nameId: record for record in records}
+        records: dict[str, RecordSummary] = {}
+        for row in rows:
+            record = msgspec.json.decode(row.v, type=RecordSummary)
+            record.stored_bytes = self._stored_bytes(record, len(row.v))
+            records[record.spec.nameId] = record
+        return records
+
+    def _stored_bytes(self, record: RecordSummary, record_bytes: int) -> int:
+        """Return the size of a record with its separately stored dependency list."""
+        parts = record.apart[1] if record.apart is not None else 0
+        return record_bytes + parts * self.ledger.limits.max_value_bytes
 
     async def is_cancelled_by_dependency(
         self, name: str, records: Mapping[str, RecordSummary]
--- a/src/chalkgrade/serving/server.py
+++ b/src/chalkgrade/serving/server.py
@@ -148,6 +148,8 @@
         # So more of them than there are sockets can be served: 1,779 workers (three times the
         # usual number) that each keep a connection don't fit into 1,532 sockets.
         close = close or self.connection_guard.is_crowded()
+        if status == 429:
+            headers["Retry-After"] = str(constants.MEMORY_RETRY_AFTER_S)
         if status == 503:
             headers["Retry-After"] = str(constants.RETRY_AFTER_S)
             # A user's retry on a new connection may reach another controller, which can answer.
--- a/src/chalkgrade/serving/submission_outcome.py
+++ b/src/chalkgrade/serving/submission_outcome.py
@@ -9,7 +9,7 @@
 
 log = logging.getLogger("chalkgrade.intake")
 
-_OUTCOMES = {201: "created", 200: "known", 400: "refused", 422: "refused"}
+_OUTCOMES = {201: "created", 200: "known", 400: "refused", 422: "refused", 429: "no_memory"}
 _UNDECIDED = "undecided"
 
 
@@ -40,7 +40,7 @@
 
     @property
     def outcome(self) -> str:
-        """Return the kind of the answer: created, known, refused or undecided."""
+        """Return the kind of the answer: created, known, refused, no_memory or undecided."""
         return _OUTCOMES.get(self.answer[0], _UNDECIDED)
 
 
--- a/src/chalkgrade/serving/submissions.py
+++ b/src/chalkgrade/serving/submissions.py
@@ -21,10 +21,11 @@
     SubmissionTooLongError,
     parse_submission,
 )
+from chalkgrade.record.memory import JobMemoryFullError, job_memory_limit_bytes
 from chalkgrade.serving.dependency_check import DependencyCheck
 from chalkgrade.serving.direct_commit import DirectCommit
 from chalkgrade.serving.job_api import JobApi
-from chalkgrade.serving.record_reader import RETRY_LATER, Answer
+from chalkgrade.serving.record_reader import MEMORY_FULL, RETRY_LATER, Answer
 from chalkgrade.serving.submission_outcome import Decision, DecisionCounts, Evidence, Route
 from chalkgrade.settings import Settings
 from chalkgrade.state.client import LedgerClient, NotExecuted, Rejected
@@ -34,7 +35,7 @@
 # The job of a submission was accepted, so it must not be committed again, but its status can't
 # be determined now.
 ACCEPTED_RETRY_LATER: Answer = (503, RETRY_LATER[1] | {"known": True})
-REFUSED_STATUSES = (400, 422)
+REFUSED_STATUSES = (400, 422, 429)
 
 
 class Submissions:
@@ -60,7 +61,10 @@
         self._dependency_check = DependencyCheck(
             ledger, job_api.finals, job_api.status_resolver.job_status
         )
-        self._direct_commit = DirectCommit(ledger, clock, job_api, self._dependency_check)
+        memory_limit_bytes = job_memory_limit_bytes(settings.cluster.quota)
+        self._direct_commit = DirectCommit(
+            ledger, clock, job_api, self._dependency_check, memory_limit_bytes
+        )
 
     @property
     def _term(self) -> Term | None:
@@ -182,6 +186,8 @@
                 if reason is not None:
                     return _refusal(422, reason, Route.LEADER)
             is_new = await term.submit(spec)
+        except JobMemoryFullError:
+            return Decision(MEMORY_FULL, Route.LEADER)
         except (Unavailable, NoAnswer, NotExecuted, Rejected, msgspec.DecodeError) as error:
             log.info("submission failed: %s: %s", spec.nameId, error)
             return undecided
--- a/src/chalkgrade/settings.py
+++ b/src/chalkgrade/settings.py
@@ -112,6 +112,7 @@
     """Limits of the platform for one process, as far as they are used here."""
 
     sockets: int = 1200
+    ram_mb: float = 0.0  # MiB of memory beyond which the process is killed; 0: no limit
 
 
 class Cluster(msgspec.Struct):
@@ -301,6 +302,10 @@
     for field, value, floor in checks:
         if not value > floor:
             raise SettingsError(f"{field}: must be over {floor:g}, is {value:g}")
+    if settings.cluster.quota.ram_mb < 0:
+        raise SettingsError(
+            f"cluster.quota.ram_mb: must not be negative, is {settings.cluster.quota.ram_mb:g}"
+        )
     if cloud.list_lag_s < 0:
         raise SettingsError(
             f"cluster.cloud.list_lag_s: must not be negative, is {cloud.list_lag_s:g}"
--- a/tests/test_oplog.py
+++ b/tests/test_oplog.py
@@ -7,8 +7,9 @@
 
 from chalkgrade import constants
 from chalkgrade.outside import encode
-from chalkgrade.record.jobs import Job, JobValue, PageValue, WaitingTasks
+from chalkgrade.record.jobs import Job, JobValue, PageValue
 from chalkgrade.record.oplog import Op, OpLog, SegmentValue
+from chalkgrade.record.task_sets import WaitingTasks
 from test_placement_rentals import spec
 
 VALUE_B = 2048
@@ -142,12 +143,13 @@
     assert len(stored.segments) < 40
 
 
-def test_waiting_gives_the_lowest_number_that_still_waits() -> None:
+@pytest.mark.parametrize("count", [40, 400, 450])  # within a page, whole pages, and a part of one
+def test_waiting_gives_the_lowest_number_that_still_waits(count: int) -> None:
     """Compared with a plain set: a lost or repeated task would never start or start twice."""
     rng = random.Random(5)
-    waiting, twin = WaitingTasks(40), set(range(40))
-    for _ in range(2000):
-        index = rng.randrange(40)
+    waiting, twin = WaitingTasks(count), set(range(count))
+    for _ in range(2000 + 20 * count):
+        index = rng.randrange(count)
         if rng.random() < 0.5:
             waiting.add(index)
             twin.add(index)
@@ -156,7 +158,8 @@
             twin.discard(index)
         skip = {rng.randrange(40) for _ in range(rng.randrange(4))}
         assert waiting.lowest(skip) == min(twin - skip, default=None)
-        assert len(waiting) == len(twin)
+        assert len(waiting) == len(twin) and (index in waiting) == (index in twin)
+    assert list(waiting) == sorted(twin)
 
 
 def test_a_value_never_grows_over_the_limit_by_a_few_bytes() -> None:
