The rental plan counts room as placement does, on one machine and with all that a task takes

Cause: an amount that two places count by different rules.

Change: renting/room.py keeps what is free on each machine and when, in the amounts of machine_demand. Machine.free is what placement, reservations, held reports and the plan ask. Related: gangs (machines counted as empty, zones added up), waiting replicas (planned as if they ended), full reports.

Tests changed: machines are given to plans with all amounts instead of CPUs.

--- a/src/chalkgrade/leading/scheduling.py
+++ b/src/chalkgrade/leading/scheduling.py
@@ -10,6 +10,7 @@
 from chalkgrade.extensions.constraints import StartConstraint
 from chalkgrade.machines.flavors import Pool
 from chalkgrade.machines.fleet import Machine
+from chalkgrade.machines.message_size import report_entry_bytes
 from chalkgrade.outside import Signal
 from chalkgrade.record.jobs import Attempt, Job
 from chalkgrade.sharing.rounds import SchedulingRound
@@ -19,6 +20,7 @@
     count_wait_reasons,
     format_wait_reasons,
 )
+from chalkgrade.vectors import fits
 
 log = logging.getLogger("chalkgrade.scheduling")
 
@@ -164,8 +166,8 @@
         flavor = self.flavors.get(machine.hosttype)
         if flavor is None or not self.fleet.usable(machine):
             return False
-        has_cpus = machine.used[0] + self.min_waiting_cpus <= flavor.vcpus + 1e-9
-        return has_cpus and machine.has_report_room()
+        smallest_task = (self.min_waiting_cpus, 0.0, 0.0, float(report_entry_bytes("")))
+        return fits(smallest_task, machine.free(flavor.resources))
 
     # -- status for operators -----------------------------------------------------------
 
--- a/src/chalkgrade/machines/fleet.py
+++ b/src/chalkgrade/machines/fleet.py
@@ -21,6 +21,7 @@
 from chalkgrade.machines.message_size import (
     NO_DEMAND,
     REPORT_CAPACITY_BYTES,
+    machine_capacity,
     machine_demand,
     report_entry_bytes,
 )
@@ -154,9 +155,13 @@
         entries = sum(report_entry_bytes(task) for task, _ in unrecorded)
         return (*self.used[:3], self.used[3] + entries + self.unexpected_bytes)
 
-    def has_report_room(self) -> bool:
-        """Returns whether the worker's reports may have room for another task."""
-        return self.used_with_unrecorded()[3] + report_entry_bytes("") <= REPORT_CAPACITY_BYTES
+    def free(self, resources: Vector) -> Vector:
+        """Returns what is free for tasks, as in `machine_demand`, on a machine of these resources.
+
+        Placement, reservations and rental plans all count by this. An amount is negative if the
+        attempts on record take more than the machine has.
+        """
+        return minus(machine_capacity(resources), self.used_with_unrecorded())
 
     def unlisted_attempts(self) -> tuple[list[Attempt], list[Attempt]]:
         """Divides the attempts that the newest report doesn't list by whether the next one can.
@@ -343,3 +348,13 @@
         lost = list(machine.attempts.values())
         machine.attempts.clear()  # a response being prepared must launch nothing
         return lost
+
+
+def count_tasks_by_zone(job: Job, fleet: Fleet) -> dict[str, int]:
+    """Returns how many tasks of a job may be present in each zone; "": where that is unknown."""
+    counts: dict[str, int] = {}
+    for attempt in job.live.values():
+        machine = fleet.machines.get(attempt.machine)
+        zone = machine.site if machine else ""
+        counts[zone] = counts.get(zone, 0) + 1
+    return counts
--- a/src/chalkgrade/machines/placement.py
+++ b/src/chalkgrade/machines/placement.py
@@ -7,7 +7,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from chalkgrade import constants
@@ -90,12 +90,19 @@
     if spec.oneZone and used:
         out = used if len(used) == 1 else set()
     if spec.spread:  # combined with `oneZone`, half of the tasks run at a time
-        # Tasks in an unknown zone ("", after a change of leader) may be in any zone.
-        max_per_zone = (spec.tasks + 1) // 2 - held.get("", 0)
+        max_per_zone = max_tasks_per_zone(spec, held)
         out = {zone for zone in out if held.get(zone, 0) < max_per_zone}
     return out
 
 
+def max_tasks_per_zone(spec: JobSpec, held: Mapping[str, int]) -> int:
+    """Returns how many tasks of a job with `spread` may be in one zone.
+
+    Tasks in an unknown zone ("", after a change of leader) may be in any zone.
+    """
+    return (spec.tasks + 1) // 2 - held.get("", 0)
+
+
 def image_fetch_s(spec: JobSpec, slot: Slot) -> float:
     """Returns the seconds until the machine holds the job's image."""
     if not spec.pullGb or spec.bundle in slot.images:
--- a/src/chalkgrade/renting/headroom.py
+++ b/src/chalkgrade/renting/headroom.py
@@ -20,7 +20,9 @@
 
 
 def round_up_to_step(free_in_s: float) -> float:
-    """Rounds a time in seconds from now up to the plan's time step."""
+    """Rounds a time in seconds from now up to the plan's time step; `NEVER` stays what it is."""
+    if free_in_s == NEVER:
+        return NEVER
     return math.ceil(free_in_s / constants.RENTAL_PLAN_STEP_S) * constants.RENTAL_PLAN_STEP_S
 
 
--- a/src/chalkgrade/renting/plan.py
+++ b/src/chalkgrade/renting/plan.py
@@ -1,17 +1,18 @@
 """Decides which machines to rent for waiting work. Does no I/O."""
 
-import heapq
-import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chalkgrade import constants
 from chalkgrade.machines.flavors import SPOT_OPTIONS, Flavor, Pool, tasks_per_machine
+from chalkgrade.machines.message_size import machine_capacity, machine_demand
 from chalkgrade.machines.placement import may_use_machine
 from chalkgrade.record.jobs import JobSpec
 from chalkgrade.renting.boot_times import BootTimes
-from chalkgrade.renting.headroom import Headroom, round_up_to_step
+from chalkgrade.renting.headroom import NEVER, Headroom
 from chalkgrade.renting.report import PlanReport
+from chalkgrade.renting.room import FleetRoom, MachineCapacity, Opening, ZoneLimits
+from chalkgrade.vectors import Vector
 
 
 @dataclass
@@ -22,63 +23,12 @@
     tasks: int
     run_s: float  # expected run time of one task
     patience_s: float  # how long the last of them may wait to start
+    # How many more of them may run at once in which zone; no entry: all.
+    zone_limits: Mapping[str, int] = field(default_factory=dict)
 
-
-@dataclass
-class MachineCapacity:
-    """A machine that is up or booting: in how many seconds how many of its CPUs become free."""
-
-    pool: Pool
-    free_cpus: list[tuple[float, int]]
-
-
-class _CpuTimelines:
-    """CPUs by pool and by the time step at which they become free.
-
-    CPUs are counted per time step, not listed one by one, so that a plan for thousands of tasks
-    doesn't need an operation for each.
-    """
-
-    def __init__(self, capacities: Iterable[MachineCapacity]) -> None:
-        counts: dict[tuple[Pool, float], int] = {}
-        for machine in capacities:
-            for free, cpus in machine.free_cpus:
-                key = machine.pool, round_up_to_step(free)
-                counts[key] = counts.get(key, 0) + cpus
-        self.pools: dict[Pool, list[tuple[float, int]]] = {}
-        for (pool, free), cpus in counts.items():
-            self.add(pool, free, cpus)
-
-    def add(self, pool: Pool, free: float, cpus: int) -> None:
-        """Adds CPUs of a pool that become free in `free` seconds."""
-        if cpus > 0:
-            heapq.heappush(self.pools.setdefault(pool, []), (free, cpus))
-
-    def take_earliest(self, usable: list[Pool], cpus: int) -> list[tuple[Pool, float, int]]:
-        """Removes and returns the first `cpus` CPUs to become free in these pools, or all."""
-        out: list[tuple[Pool, float, int]] = []
-        while cpus > 0:
-            heads = [(self.pools[p][0][0], p) for p in usable if self.pools.get(p)]
-            if not heads:
-                break
-            free, pool = min(heads)
-            _, count = heapq.heappop(self.pools[pool])
-            self.add(pool, free, count - cpus)
-            out.append((pool, free, min(count, cpus)))
-            cpus -= min(count, cpus)
-        return out
-
-    def delay(self, usable: list[Pool], cpus: int, run_s: float) -> None:
-        """Delays all CPUs of these pools equally by `cpus` one-CPU runs spread over them."""
-        total = sum(count for pool in usable for _, count in self.pools.get(pool, ()))
-        more = cpus / total * run_s if total else 0.0
-        for pool in usable:
-            self.pools[pool] = [(free + more, count) for free, count in self.pools.get(pool, ())]
-
-    def earliest_cpus(self, usable: list[Pool]) -> int:
-        """Returns how many CPUs become free at the earliest time in one of these pools."""
-        heads = [(*self.pools[p][0], p) for p in usable if self.pools.get(p)]
-        return min(heads)[1] if heads else 0
+    def min_start(self, left: int) -> int:
+        """How many of the tasks must start together at least, with `left` of them waiting."""
+        return left if self.spec.shape == "gang" else 1
 
 
 def effective_hourly_price(flavor: Flavor, standby: bool) -> float:
@@ -88,9 +38,14 @@
 
 
 def _cheapest_offer(
-    spec: JobSpec, tasks: int, start_s: float, flavors: dict[str, Flavor], closed: set[Pool]
-) -> tuple[Pool, int] | None:
-    """Returns the pool with the cheapest useful capacity for the tasks, and tasks per machine.
+    spec: JobSpec,
+    tasks: int,
+    start_s: float,
+    flavors: dict[str, Flavor],
+    closed: set[Pool],
+    usable: list[Pool],
+) -> Pool | None:
+    """Returns the usable pool with the cheapest useful capacity for the tasks.
 
     `start_s` is when the first of them could start without a new machine. Returns None if no
     open pool is suitable at an acceptable price.
@@ -106,23 +61,16 @@
                 pool = (flavor.sku, site, standby)
                 if not may_use_machine(spec, *pool):
                     continue
-                full = effective_hourly_price(flavor, standby) / count
-                cheapest = min(cheapest, full)
-                if pool not in closed:
+                hourly = effective_hourly_price(flavor, standby)
+                cheapest = min(cheapest, hourly / count)
+                if pool not in closed and pool in usable:
                     # Only capacity that can be filled now is useful, not all of a big machine.
-                    offers.append(
-                        (
-                            effective_hourly_price(flavor, standby) / min(count, tasks),
-                            full,
-                            pool,
-                            count,
-                        )
-                    )
+                    offers.append((hourly / min(count, tasks), hourly / count, pool))
     # Expensive pools are for work that would otherwise wait very long or for ever.
     any_price = _allows_expensive_pools(start_s)
-    for _, full, pool, count in sorted(offers):
+    for _, full, pool in sorted(offers):
         if any_price or full <= cheapest * constants.MAX_PRICE_RATIO:
-            return pool, count
+            return pool
     return None
 
 
@@ -144,8 +92,7 @@
         headroom: Mapping[str, Headroom],
     ) -> None:
         self.rented: dict[Pool, int] = {}
-        self._machines = list(capacities)
-        self._timelines = _CpuTimelines(self._machines)
+        self._room = FleetRoom(capacities)
         self._flavors = flavors
         self._closed_pools = set(blocked)
         self._boots = boots
@@ -155,23 +102,18 @@
         self._min_boot_s = min((flavor.bootS for flavor in flavors.values()), default=0.0)
 
     def add(self, need: RentalNeed) -> None:
-        """Places the tasks of a need on existing CPUs; rents where they would wait too long."""
+        """Places the tasks of a need on existing machines; rents where they would wait too long."""
         spec = need.spec
         headroom = self._headroom.get(spec.owner) or Headroom()
         within_s = max(need.patience_s, self._min_boot_s)
-        if (
-            headroom.earliest_start(spec, self._min_start_together(need, need.tasks), within_s)
-            > within_s
-        ):
+        if headroom.earliest_start(spec, need.min_start(need.tasks), within_s) > within_s:
             return
+        zones = ZoneLimits(need.zone_limits)
         usable = self._usable_pools(spec)
         if spec.shape == "gang":
-            self._rent_for_gang(need, usable)
-        self._place_tasks(need, headroom, within_s, usable)
-
-    def _min_start_together(self, need: RentalNeed, left: int) -> int:
-        """How many of the need's tasks must start together at least."""
-        return left if need.spec.shape == "gang" else 1
+            usable = self._gang_pools(need, usable, zones)
+            self._rent_for_gang(need, usable, zones)
+        self._place_tasks(need, headroom, within_s, usable, zones)
 
     def _usable_pools(self, spec: JobSpec) -> list[Pool]:
         """Pools whose machines may run the job and are large enough for one of its tasks."""
@@ -184,7 +126,7 @@
         }
         return sorted(
             pool
-            for pool in every | set(self._timelines.pools)
+            for pool in every | self._room.pools
             if may_use_machine(spec, *pool)
             and pool[0] in flavors
             and tasks_per_machine(spec, flavors[pool[0]]) >= 1
@@ -194,93 +136,148 @@
         """Expected boot time of a machine of the pool."""
         return self._boots.expected_boot_s(pool, self._flavors[pool[0]].bootS)
 
-    def _rent(self, spec: JobSpec, pool: Pool, cpus: int) -> None:
-        """Adds one machine to the plan; `cpus` of its CPUs are usable by the job."""
+    def _rent(self, spec: JobSpec, pool: Pool) -> None:
+        """Adds one machine to the plan, for a job."""
         self.rented[pool] = self.rented.get(pool, 0) + 1
         if self.rented[pool] >= constants.MAX_RENTED_PER_REQUEST:
             self._closed_pools.add(pool)
-        self._timelines.add(pool, self._boot_s(pool), cpus)
-        self._report.team_plan(spec.owner).rented += int(self._flavors[pool[0]].vcpus)
+        flavor = self._flavors[pool[0]]
+        free = machine_capacity(flavor.resources)
+        self._room.add(MachineCapacity(pool, free, self._boot_s(pool)))
+        self._report.team_plan(spec.owner).rented += int(flavor.vcpus)
+
+    def _offer(self, spec: JobSpec, tasks: int, start_s: float, usable: list[Pool]) -> Pool | None:
+        """Returns the best of the usable pools to rent from; see `_cheapest_offer`."""
+        return _cheapest_offer(spec, tasks, start_s, self._flavors, self._closed_pools, usable)
+
+    def _gang_pools(self, need: RentalNeed, usable: list[Pool], zones: ZoneLimits) -> list[Pool]:
+        """Returns the usable pools, or those of one zone for a gang that needs one zone.
+
+        Chosen is the zone in which most of its tasks fit, and of equal ones the first.
+        """
+        if not need.spec.oneZone:
+            return usable
+        demand = machine_demand(need.spec)
+        by_zone: dict[str, list[Pool]] = {}
+        for pool in usable:
+            by_zone.setdefault(pool[1], []).append(pool)
+        return max(
+            (pools for _, pools in sorted(by_zone.items())),
+            key=lambda pools: self._room.count_finally(pools, demand, zones),
+            default=[],
+        )
 
-    def _rent_for_gang(self, need: RentalNeed, usable: list[Pool]) -> None:
+    def _rent_for_gang(self, need: RentalNeed, usable: list[Pool], zones: ZoneLimits) -> None:
         """Rents machines until all the gang's tasks fit at once, as they can't run in turns."""
         spec = need.spec
-        machine_flavors = [self._flavors[m.pool[0]] for m in self._machines if m.pool in usable]
-        missing = need.tasks - sum(tasks_per_machine(spec, flavor) for flavor in machine_flavors)
-        while missing > 0:
-            offer = _cheapest_offer(spec, missing, float("inf"), self._flavors, self._closed_pools)
-            if offer is None:
+        demand = machine_demand(spec)
+        while (missing := need.tasks - self._room.count_finally(usable, demand, zones)) > 0:
+            # A machine is of no use in a zone that has as many tasks as it may have.
+            useful = [
+                pool
+                for pool in usable
+                if self._count_in_zone(usable, pool[1], demand) < zones.most(pool, need.tasks)
+            ]
+            pool = self._offer(spec, missing, NEVER, useful)
+            if pool is None:
                 return
-            self._rent(spec, offer[0], offer[1] * _cpus_per_task(spec))
-            missing -= offer[1]
+            self._rent(spec, pool)
+
+    def _count_in_zone(self, usable: list[Pool], zone: str, demand: Vector) -> int:
+        """Returns how many tasks fit at once on a zone's machines when all that ends has ended."""
+        pools = [pool for pool in usable if pool[1] == zone]
+        return self._room.count_finally(pools, demand, ZoneLimits({}))
+
+    def _openings(
+        self, need: RentalNeed, usable: list[Pool], zones: ZoneLimits, left: int, most: int
+    ) -> list[Opening]:
+        """Returns where tasks of the need can start first, at one time; all of a gang's."""
+        demand = machine_demand(need.spec)
+        if need.spec.shape == "gang":
+            return self._room.earliest_together(usable, demand, left, zones)
+        return self._room.earliest(usable, demand, most, zones)
 
     def _place_tasks(
-        self, need: RentalNeed, headroom: Headroom, within_s: float, usable: list[Pool]
+        self,
+        need: RentalNeed,
+        headroom: Headroom,
+        within_s: float,
+        usable: list[Pool],
+        zones: ZoneLimits,
     ) -> None:
         """Places a need's tasks in the order of their start and rents where that pays off."""
-        spec, left, task_cpus, timelines = (
-            need.spec,
-            need.tasks,
-            _cpus_per_task(need.spec),
-            self._timelines,
-        )
+        spec, left = need.spec, need.tasks
         # Each entry: whether expensive pools were included in a search that found no offer.
         searched_without_offer: set[bool] = set()
         while left > 0:
-            may_start = headroom.earliest_start(
-                spec, self._min_start_together(need, left), within_s
-            )
-            if may_start > within_s:
+            # What remains beyond the limits of all zones waits for the job's own tasks.
+            usable = [pool for pool in usable if zones.most(pool, left)]
+            may_start = headroom.earliest_start(spec, need.min_start(left), within_s)
+            if may_start > within_s or not usable:
                 return  # the limits let nothing more start in time, whatever is rented
             if True in searched_without_offer:
-                # Nothing can be rented for the remaining tasks, however late they start: they
-                # only delay others. A huge job must not need a step for each wave of tasks.
-                left = headroom.startable_tasks(spec, left, within_s)
-                headroom.consume(spec, left)
-                timelines.delay(usable, left * task_cpus, need.run_s)
-                self._report.add_placed(
-                    spec.owner, left * spec.vcpus, float("inf"), need.patience_s
-                )
+                self._delay_others(need, headroom, left, within_s, usable)
                 return
-            # Tasks that start at the same time are placed in one step.
-            at_once = min(
-                headroom.startable_tasks(spec, left, may_start),
-                timelines.earliest_cpus(usable) // task_cpus,
-            )
-            tasks = max(at_once, self._min_start_together(need, left))
-            taken = timelines.take_earliest(usable, tasks * task_cpus)
-            full = sum(cpus for _, _, cpus in taken) == tasks * task_cpus
-            start = max(free for _, free, _ in taken) if full else float("inf")
+            most = max(1, headroom.startable_tasks(spec, left, may_start))
+            openings = self._openings(need, usable, zones, left, most)
+            start = openings[0].start if openings else NEVER
             offer = None
             if (
                 start > max(need.patience_s, may_start)
                 and _allows_expensive_pools(start) not in searched_without_offer
             ):
-                offer = _cheapest_offer(spec, left, start, self._flavors, self._closed_pools)
+                offer = self._offer(spec, left, start, usable)
                 if offer is None:
                     # Pools only close while a plan is being made, so the search isn't repeated.
                     searched_without_offer.add(_allows_expensive_pools(start))
-                if offer is not None and self._boot_s(offer[0]) >= start:
+                elif self._boot_s(offer) >= start:
                     offer = None
-            if offer is None and start < float("inf"):
-                start = max(start, may_start)
-                for pool, _, cpus in taken:
-                    timelines.add(pool, start + need.run_s, cpus)
-                headroom.consume(spec, tasks)
-                headroom.add_release(spec, tasks, start + need.run_s)
-                left -= tasks
-                self._report.add_placed(spec.owner, tasks * spec.vcpus, start, need.patience_s)
-                continue
-            for pool, free, cpus in taken:
-                timelines.add(pool, free, cpus)
-            if offer is None:
+            if offer is not None:
+                self._rent(spec, offer)
+            elif openings:
+                left -= self._take(need, headroom, openings, max(start, may_start), zones)
+            else:
                 return
-            self._rent(spec, offer[0], offer[1] * task_cpus)
 
+    def _take(
+        self,
+        need: RentalNeed,
+        headroom: Headroom,
+        openings: list[Opening],
+        start: float,
+        zones: ZoneLimits,
+    ) -> int:
+        """Places tasks where they can start; returns how many."""
+        spec, demand = need.spec, machine_demand(need.spec)
+        # Replicas of a service don't end by themselves.
+        end = NEVER if spec.shape == "service" else start + need.run_s
+        for opening in openings:
+            self._room.take(opening, demand, start, end)
+            zones.use(opening.pool, opening.tasks)
+        tasks = sum(opening.tasks for opening in openings)
+        headroom.consume(spec, tasks)
+        if end < NEVER:
+            headroom.add_release(spec, tasks, end)
+        self._report.add_placed(spec.owner, tasks * spec.vcpus, start, need.patience_s)
+        return tasks
+
+    def _delay_others(
+        self,
+        need: RentalNeed,
+        headroom: Headroom,
+        left: int,
+        within_s: float,
+        usable: list[Pool],
+    ) -> None:
+        """Counts tasks for which nothing can be rented, however late they start.
 
-def _cpus_per_task(spec: JobSpec) -> int:
-    """Whole CPUs that one task uses in a plan."""
-    return max(1, math.ceil(spec.vcpus - 1e-9))
+        They only delay others. A huge job must not need a step for each wave of tasks.
+        """
+        spec = need.spec
+        tasks = headroom.startable_tasks(spec, left, within_s)
+        headroom.consume(spec, tasks)
+        self._room.delay(usable, machine_demand(spec), tasks, need.run_s)
+        self._report.add_placed(spec.owner, tasks * spec.vcpus, NEVER, need.patience_s)
 
 
 def plan_rentals(
@@ -294,7 +291,7 @@
 ) -> dict[Pool, int]:
     """Returns how many machines to rent from each pool.
 
-    Waiting tasks are placed on the existing CPUs in the order in which they would
+    Waiting tasks are placed on the existing machines in the order in which they would
     start. Where a task would wait longer than its job's patience, and longer than a
     new machine takes to boot, a machine is added. A team's tasks count from the time
     at which its limits let them start (`headroom`, by team), if that is within their
--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from typing import Any
@@ -16,6 +15,7 @@
 from chalkgrade.logs import decision_fields
 from chalkgrade.machines.flavors import SPOT_OPTIONS, Pool, persisted_flavors, tasks_per_machine
 from chalkgrade.machines.fleet import Machine
+from chalkgrade.machines.message_size import machine_demand
 from chalkgrade.machines.placement import may_use_machine
 from chalkgrade.outside import NoAnswer
 from chalkgrade.record.jobs import Attempt, Job
@@ -23,8 +23,9 @@
 from chalkgrade.renting.cloud import CloudClient, RentalRefusedError
 from chalkgrade.renting.headroom import NEVER
 from chalkgrade.renting.needs import WaitingWork
-from chalkgrade.renting.plan import MachineCapacity, RentalNeed, plan_rentals
+from chalkgrade.renting.plan import RentalNeed, plan_rentals
 from chalkgrade.renting.report import PlanReport
+from chalkgrade.renting.room import MachineCapacity
 from chalkgrade.sharing.term_context import TermContext
 
 log = logging.getLogger("chalkgrade.renting")
@@ -447,15 +448,12 @@
                 if left is None:
                     continue  # overdue: the work needs another machine
                 boot = left
-            busy: list[tuple[float, int]] = []
+            capacity = MachineCapacity(pool, machine.free(flavor.resources), boot)
             for attempt in machine.attempts.values():
-                cpus = max(1, math.ceil(attempt.job.spec.vcpus - 1e-9))
-                service = attempt.job.spec.shape == "service"
+                spec = attempt.job.spec
+                service = spec.shape == "service"
                 ends[attempt] = NEVER if service else self.queues.remaining_run_s(attempt, now)
-                busy.append((ends[attempt], cpus))
-            free = max(0, int(flavor.vcpus) - sum(cpus for _, cpus in busy))
-            if not machine.has_report_room():
-                free = 0  # it could not report another task, whatever CPUs are left
-            ending = [(at, cpus) for at, cpus in busy if at < NEVER]
-            out.append(MachineCapacity(pool, [*ending, (boot, free)]))
+                if not service:
+                    capacity.releases.append((ends[attempt], machine_demand(spec)))
+            out.append(capacity)
         return out, ends
--- a/src/chalkgrade/sharing/cluster_snapshot.py
+++ b/src/chalkgrade/sharing/cluster_snapshot.py
@@ -8,7 +8,7 @@
 from chalkgrade.machines.placement import Occupant, Slot, may_use_machine, room_wait_s
 from chalkgrade.record.jobs import Attempt, JobSpec
 from chalkgrade.sharing.queues import Queues
-from chalkgrade.vectors import ZERO, Vector, fits, minus, plus
+from chalkgrade.vectors import ZERO, Vector, fits, plus
 
 
 class ClusterSnapshot:
@@ -72,7 +72,6 @@
     def _slot(self, machine: Machine) -> Slot:
         """Describe a machine as a slot; its occupants are only loaded when needed."""
         flavor = self.flavors[machine.hosttype]
-        capacity = machine_capacity(flavor.resources)
         fetching = {
             attempt.job.spec.bundle
             for attempt in machine.attempts.values()
@@ -83,8 +82,8 @@
             machine.hosttype,
             machine.site,
             machine.standby,
-            minus(capacity, machine.used_with_unrecorded()),
-            capacity,
+            machine.free(flavor.resources),
+            machine_capacity(flavor.resources),
             set(machine.images),
             flavor.pullGbPerS,
             machine.failures,
--- a/src/chalkgrade/sharing/constraints.py
+++ b/src/chalkgrade/sharing/constraints.py
@@ -5,7 +5,7 @@
 
 from chalkgrade import constants
 from chalkgrade.extensions.constraints import Preemption, StartConstraint
-from chalkgrade.machines.fleet import Fleet
+from chalkgrade.machines.fleet import Fleet, count_tasks_by_zone
 from chalkgrade.machines.message_size import machine_demand
 from chalkgrade.machines.placement import Slot, eligible_zones
 from chalkgrade.record.jobs import Job
@@ -167,11 +167,9 @@
     def tasks_by_zone(self, job: Job) -> dict[str, int]:
         """Count a job's tasks that may be present by zone; "" where the zone is not known yet."""
         if job not in self._tasks_by_zone:
-            counts = self._tasks_by_zone[job] = defaultdict(int)
-            if job.spec.oneZone or job.spec.spread:
-                for attempt in job.live.values():
-                    machine = self._fleet.machines.get(attempt.machine)
-                    counts[machine.site if machine else ""] += 1
+            is_bound = job.spec.oneZone or job.spec.spread
+            counts = count_tasks_by_zone(job, self._fleet) if is_bound else {}
+            self._tasks_by_zone[job] = defaultdict(int, counts)
         return self._tasks_by_zone[job]
 
     def allowed_zones(self, job: Job, sites: set[str]) -> set[str]:
--- a/tests/test_placement_rentals.py
+++ b/tests/test_placement_rentals.py
@@ -1,12 +1,14 @@
 """Placement, preemption and rental plans, on small cases with exact expected results."""
 
 import random
+from collections import Counter
 from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from chalkgrade.machines.flavors import Flavor
+from chalkgrade.machines.message_size import machine_capacity
 from chalkgrade.machines.placement import (
     Occupant,
     PreemptionOffers,
@@ -20,8 +22,8 @@
     select_victims,
 )
 from chalkgrade.record.jobs import JobSpec
-from chalkgrade.renting import plan
-from chalkgrade.renting.plan import MachineCapacity, RentalNeed, plan_rentals
+from chalkgrade.renting.plan import RentalNeed, plan_rentals
+from chalkgrade.renting.room import FleetRoom, MachineCapacity, MachineTimeline
 
 SMALL = Flavor("small", 4, 16, ["a", "b"], hourly=0.3, spotPrice=0.1, bootS=30)
 LARGE = Flavor("large", 64, 256, ["a"], hourly=5.0, spotPrice=1.6, bootS=40)
@@ -55,6 +57,10 @@
     return Slot(name, "small", site, True, (cpus, 0.0, 16.0), (4.0, 0.0, 16.0), **changes)
 
 
+def machine(up_in_s: float = 0.0, zone: str = "a") -> MachineCapacity:
+    return MachineCapacity(("small", zone, True), machine_capacity(SMALL.resources), up_in_s)
+
+
 def busy(name: str, rank: int, left: float, lost: float, owner: str = "blue") -> Occupant:
     return Occupant(name, 1, owner, rank, (1.0, 0.0, 2.0), left, lost)
 
@@ -105,7 +111,7 @@
 
 
 def test_rents_nothing_when_cpus_come_free_in_time() -> None:
-    have = [MachineCapacity(("small", "a", True), [(5.0, 4)])]
+    have = [machine(5.0)]
     assert plan_rentals([RentalNeed(spec(), 4, 10.0, 20.0)], have, FLAVORS, []) == {}
 
 
@@ -127,7 +133,7 @@
     rented = plan_rentals([RentalNeed(spec(), 4, 50.0, 20.0)], [], FLAVORS, shut)
     assert rented == {("small", "a", False): 1}
     # A strict price limit would leave a job waiting for ever if all cheap pools have refused.
-    soon = [MachineCapacity(("small", "a", True), [(35.0, 4)])]
+    soon = [machine(35.0)]
     assert plan_rentals([RentalNeed(spec(), 4, 50.0, 20.0)], soon, FLAVORS, shut) == {}
 
 
@@ -178,20 +184,24 @@
 
 def test_a_plan_for_thousands_takes_few_steps(monkeypatch: pytest.MonkeyPatch) -> None:
     """A plan's work must grow with the time steps at which CPUs become free, not with tasks."""
-    steps = 0
-    plain = plan._CpuTimelines.take_earliest
+    steps: Counter[str] = Counter()
 
-    def counted(self: Any, usable: Any, cpus: int) -> Any:
-        nonlocal steps
-        steps += 1
-        return plain(self, usable, cpus)
+    def count_calls(owner: type, name: str) -> None:
+        plain = getattr(owner, name)
 
-    monkeypatch.setattr(plan._CpuTimelines, "take_earliest", counted)
-    have = [
-        MachineCapacity(("small", "a", True), [(float(number % 7), 4)]) for number in range(400)
-    ]
+        def counted(*args: Any) -> Any:
+            steps[name] += 1
+            return plain(*args)
+
+        monkeypatch.setattr(owner, name, counted)
+
+    count_calls(FleetRoom, "earliest")
+    count_calls(MachineTimeline, "earliest_fit")
+    have = [machine(float(number % 7)) for number in range(400)]
     assert plan_rentals([RentalNeed(spec(), 8000, 10.0, 1e9)], have, FLAVORS, []) == {}
-    assert steps < 100
+    assert steps["earliest"] < 100
+    waves = 8000 // (4 * len(have))
+    assert steps["earliest_fit"] <= len(have) * (1 + waves), "once a machine and wave of tasks"
 
 
 def test_a_gang_that_the_machines_can_only_run_in_turns_gets_more() -> None:
@@ -199,7 +209,7 @@
 
     The tasks are short, so CPUs seem to become free in time, but all of them must run at once.
     """
-    have = [MachineCapacity(("small", "a", True), [(0.0, 4)])]
+    have = [machine()]
     gang = spec(shape="gang", tasks=3, vcpus=2.0, pullGb=0.0)
     assert plan_rentals([RentalNeed(gang, 3, 2.0, 10.0)], have, FLAVORS, []) == {
         ("small", "a", True): 1
--- a/tests/test_team_at_its_maximum.py
+++ b/tests/test_team_at_its_maximum.py
@@ -24,14 +24,17 @@
 
 from chalkgrade.machines.placement import Occupant, Slot, select_victims
 from chalkgrade.renting.headroom import NEVER, CapacityTimeline, Headroom
-from chalkgrade.renting.plan import MachineCapacity, RentalNeed, plan_rentals
+from chalkgrade.renting.plan import RentalNeed, plan_rentals
 from chalkgrade.renting.report import PlanReport
+from chalkgrade.renting.room import MachineCapacity
 from chalkgrade.sharing.preemption import Preemptor
 from test_halves import _play, _sixfold
 from test_placement_rentals import FLAVORS, spec
 
 POOL = ("small", "a", True)
 RUN_S = 12.0
+FULL = (0.0, 0.0, 8.0, 1000.0)  # a machine whose CPUs are all in use
+PER_CPU = (1.0, 1.0, 2.0, 100.0)  # what a task releases
 
 
 def _needs(tasks: int = 1000, patience_s: float = 10.0, **changes: Any) -> list[RentalNeed]:
@@ -42,7 +45,8 @@
     """Machines of four CPUs whose one-CPU tasks end one after the other."""
     ends = [RUN_S * number / cpus for number in range(cpus)]
     have = [
-        MachineCapacity(POOL, [(end, 1) for end in ends[at : at + 4]]) for at in range(0, cpus, 4)
+        MachineCapacity(POOL, FULL, 0.0, [(end, PER_CPU) for end in ends[at : at + 4]])
+        for at in range(0, cpus, 4)
     ]
     return have, [(end, 1.0) for end in ends]
 
