Rental plans know how many tasks of a job with spread may be in each zone

Callers would see: the second of two replicas with spread waits for ever, beside room in the zone that has the first.

Cause: placement keeps at most half of a spread job in one zone, the rental plan counted the room of all zones.

Change: a need says how many more tasks may run at once in which zone, by the limit that eligible_zones uses (max_tasks_per_zone); such needs are not merged. Needs are merged by machine_constraints, which says what equivalent jobs are, in place of a list of its own.

Evidence: test_a_replica_that_must_be_in_another_zone_gets_a_machine_there failed without this change and passes with it.

--- a/src/chalkgrade/renting/needs.py
+++ b/src/chalkgrade/renting/needs.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from chalkgrade import constants
+from chalkgrade.machines.fleet import count_tasks_by_zone
+from chalkgrade.machines.placement import max_tasks_per_zone
 from chalkgrade.record.jobs import Attempt, Job, JobSpec
 from chalkgrade.renting.headroom import NEVER, CapacityTimeline, Headroom
 from chalkgrade.renting.plan import RentalNeed
@@ -16,16 +18,7 @@
     """Whether two jobs can be planned as one: same team, requirements and task count."""
     return all(
         getattr(one, name) == getattr(other, name)
-        for name in (
-            "owner",
-            "shape",
-            "urgency_rank",
-            "resources",
-            "hosttypes",
-            "site",
-            "standby",
-            "tasks",
-        )
+        for name in ("owner", "shape", "urgency_rank", "machine_constraints", "tasks")
     )
 
 
@@ -73,7 +66,13 @@
             report.team_plan(spec.owner).wanted += tasks * spec.vcpus
             self._merge_or_append(
                 needs,
-                RentalNeed(spec, tasks, self._queues.expected_run_s(job), self._patience_s(job)),
+                RentalNeed(
+                    spec,
+                    tasks,
+                    self._queues.expected_run_s(job),
+                    self._patience_s(job),
+                    self._zone_limits(job),
+                ),
             )
         return needs + list(self._upcoming_needs(upcoming))
 
@@ -114,6 +113,8 @@
         if (
             last is None
             or last.spec.shape == "gang"
+            or last.zone_limits
+            or need.zone_limits
             or not _has_same_requirements(last.spec, need.spec)
         ):
             needs.append(need)
@@ -144,8 +145,16 @@
         spec = job.spec
         if not (spec.oneZone and job.live) or spec.site is not None or spec.shape == "gang":
             return spec
-        machines = (self._fleet.machines.get(attempt.machine) for attempt in job.live.values())
-        zones = {machine.site if machine else "" for machine in machines}
+        zones = set(count_tasks_by_zone(job, self._fleet))
         if len(zones) > 1 or "" in zones:
             return spec
         return msgspec.structs.replace(spec, site=zones.pop())
+
+    def _zone_limits(self, job: Job) -> dict[str, int]:
+        """Returns how many more tasks of a job with `spread` may run at once in each zone."""
+        if not job.spec.spread:
+            return {}
+        held = count_tasks_by_zone(job, self._fleet)
+        most = max_tasks_per_zone(job.spec, held)
+        zones = {zone for flavor in self._flavors.values() for zone in flavor.sites}
+        return {zone: max(0, most - held.get(zone, 0)) for zone in zones | held.keys()}
--- a/tests/test_rental_room.py
+++ b/tests/test_rental_room.py
@@ -260,3 +260,16 @@
         assert any(at > taken_at for at, _ in world.cloud.rented)
 
     tell(story, 2, loss=0.0)
+
+
+def test_a_replica_that_must_be_in_another_zone_gets_a_machine_there() -> None:
+    """Guards against room in a zone that has as many replicas of the job as it may."""
+
+    async def story(world: World) -> None:
+        service = {"shape": "service", "expectedS": 0.0, "standby": False}
+        await _run(world, 1, site="a", **service)
+        name = _add_job(world, 2, tasks=2, spread=True, hosttypes=["small"], **service)
+        await _accept(world, name)
+        await _wait_until(world, WAIT_S, lambda: len(world.present_of_job(name)) == 2)
+
+    tell(story, 2, loss=0.0)
