A copy from before a worker's restart no longer hides what the worker was given since

Callers would see a task on two machines: a controller and a machine are back within a second, the new leader starts a task on the machine, and a copy of a report from before the restart comes.

Cause: reports were ordered by (tenure, seq) alone, which begin anew with a worker. The copy counted as the newest report, the true ones were dropped as old but kept the worker's lease, and the leader took the silent machine's lease for over.

Change: reports with this leader's token come after those without, whatever their numbers. On a machine older than the term nothing is launched before it has shown the token. A worker without it, on a machine that has shown it, is answered 421.

The model of absence proofs has restarts now and finds each of the two rules left out. Its bug "by arrival" takes every report for newer; the older form, numbers alone, is a bug of its own.

--- a/src/chalkgrade/leading/reports.py
+++ b/src/chalkgrade/leading/reports.py
@@ -59,14 +59,17 @@
         machine = self.fleet.accept_report(report, size)
         answer: dict[str, Any] = {"baton": self.context.token, "orders": []}
         if machine is None:
-            return 200, answer
+            # A copy, whose answer nobody reads, or a worker that was restarted. The latter may
+            # learn the token, unless this term has launched tasks there before: then copies with
+            # the token may come, and the machine is returned as silent.
+            return (421, {}) if known and self.fleet.has_seen_token(known) else (200, answer)
         self.on_report_accepted(machine, first)
         if machine.name in self.registry.image_hints:
             images.add_recorded_images(
                 machine, self.registry.image_hints.pop(machine.name), self.clock
             )
         self._reconcile(machine)
-        if self.is_serving():
+        if self.is_serving() and self.fleet.is_surely_of_this_term(machine):
             await self._wait_for_decisions(
                 machine,
                 constants.RELAYED_IDLE_RESPONSE_HOLD_S
@@ -77,12 +80,11 @@
             return 421, {}
         current = (machine.tenure, machine.seq) == (report.tenure, report.seq)
         machine.answered_at = self.clock.now()
-        useless = machine.releasing or machine.response_tracker.responses_lost
         answer["orders"] = orders(
             machine,
             self._forgettable_attempts(machine),
             self.clock,
-            launches=current and self.is_serving() and not useless,
+            launches=current and self.is_serving() and self.fleet.may_launch(machine),
         )
         if current:
             machine.response_tracker.on_response_sent(
--- a/src/chalkgrade/machines/fleet.py
+++ b/src/chalkgrade/machines/fleet.py
@@ -4,12 +4,13 @@
 absent (`Fleet.is_surely_absent`). Orders are never queued: each response carries the difference
 between the record and the report, so a lost response costs only time.
 
-Every report was true when it was written, and it was written after all reports with a lower
-(tenure, seq). Only this term's token in it proves that it was written recently, during this term
-(`Fleet.has_seen_token`): the first report that a new leader receives may be a copy from any
-earlier session of a machine that no longer exists. From a report without the token only lasting
-facts are used: the machine's type, a termination notice and completed tasks, and also what it
-says about attempts placed in this term, which no earlier report can mention.
+Every report was true when it was written, and it was written after all reports of the same worker
+with a lower (tenure, seq); a worker that is restarted may begin anew with both. Only this term's
+token in it proves that it was written recently, during this term (`Fleet.has_seen_token`): the
+first report that a new leader receives may be a copy from any earlier session of a machine that no
+longer exists. From a report without the token only lasting facts are used: the machine's type, a
+termination notice and completed tasks, and also what it says about attempts placed in this term,
+which no earlier report can mention.
 """
 
 import logging
@@ -225,7 +226,7 @@
         if report.host in self.gone:
             return None
         machine = self.get_or_add(report.host, report.hosttype, report.site, report.standby)
-        if (report.tenure, report.seq) <= (machine.tenure, machine.seq):
+        if not self._is_newer(report, machine):
             return None
         launched = {(entry.task, entry.number) for entry in report.tasks}
         now, lease_s = self._clock.now(), self.lease_s
@@ -241,6 +242,17 @@
         machine.note_report(report, size)
         return machine
 
+    def _is_newer(self, report: Report, machine: Machine) -> bool:
+        """Returns whether a report was written after all that were accepted from the machine.
+
+        The numbers (tenure, seq) of a worker that was restarted begin anew, and a copy from before
+        has higher ones. A worker's token never falls, so reports with this term's token come
+        after those without, whatever their numbers are.
+        """
+        if self.has_seen_token(machine) != (report.baton >= self.token):
+            return not self.has_seen_token(machine)
+        return (report.tenure, report.seq) > (machine.tenure, machine.seq)
+
     def has_seen_token(self, machine: Machine) -> bool:
         """Returns whether its newest report carries this term's token.
 
@@ -249,6 +261,21 @@
         """
         return machine.token == self.token
 
+    def is_surely_of_this_term(self, machine: Machine) -> bool:
+        """Returns whether no copy of an earlier term can pass for the machine's newest report.
+
+        It can't if the machine has shown this term's token, or did not exist before the term. Else
+        nothing is launched, so that a report that doesn't list a launched attempt was written by
+        the worker that got the launch, or by one that was started after it. The answer to a report
+        without the token tells the token, and the worker reports again at once.
+        """
+        return machine.rented_this_term or self.has_seen_token(machine)
+
+    def may_launch(self, machine: Machine) -> bool:
+        """Returns whether the answer to the machine's newest report may launch tasks."""
+        lost = machine.releasing or machine.response_tracker.responses_lost
+        return self.is_surely_of_this_term(machine) and not lost
+
     def is_surely_ended(self, machine: Machine, attempt: Attempt, cause: str) -> bool:
         """Returns whether an attempt that a report lists as ended can't be running any more.
 
--- a/tests/test_absence_model.py
+++ b/tests/test_absence_model.py
@@ -27,6 +27,7 @@
 from test_placement_rentals import spec
 
 LEASE_S, REPORT_S = 12.0, 3.0  # s; a worker's lease, and the interval of its reports
+FIRST_TOKEN = 10  # of the leader that rented the machine
 PICK = st.integers(0, 30)
 FATES = ["fine", "fine", "fine", "lost", "unheard", "late"]
 
@@ -58,10 +59,14 @@
     @rule()
     def lead(self) -> None:
         """A new leader starts with the attempts on record and without any report."""
-        self.token += 10
+        self.token += FIRST_TOKEN
         self.fleet = Fleet(self.clock, self.token, LEASE_S, REPORT_S)
         self.job = Job(JobValue(spec(nameId="run-000001", tasks=6), 0.0), 1, self.log)
         self.job.page_of(0).next_try = self.next
+        machine = self.fleet.get_or_add("host-1", "quad", "a", False)
+        machine.rented_this_term = self.token == FIRST_TOKEN
+        if self.token % 20:  # the cloud lists it, so that work may be placed at once
+            machine.listed_at = self.clock.at
         for index, (number, machine) in self.live.items():
             self.job._add_live(self.job.page_of(0), Attempt(self.job, index, number, machine, 0))
             self.fleet.attach_attempt(self.job.live[index])
@@ -69,6 +74,24 @@
     def machine(self) -> Machine | None:
         return self.fleet.machines.get("host-1")
 
+    @rule(keeps_numbers=st.booleans())
+    def worker_restarts(self, keeps_numbers: bool) -> None:
+        """The worker is back at once without its tasks; its numbers go on or begin anew.
+
+        Left out are copies of reports with the present leader's token if the leader got no report
+        with it: see `test_reports_that_are_held_over_a_restart_prove_nothing`.
+        """
+        machine = self.machine()
+        if keeps_numbers:
+            self.tenure += 1
+        else:
+            if machine is None or not self.fleet.has_seen_token(machine):
+                self.sent = [report for report in self.sent if report.baton < self.token]
+            self.tenure, self.seq, self.baton = 1, 0, 0
+        self.present.clear()
+        self.in_flight = self.answer = None
+        self.lease_from = self.clock.at
+
     @rule(seconds=st.floats(0.1, 6.0))
     def time_passes(self, seconds: float) -> None:
         self.clock.at += seconds
@@ -116,9 +139,12 @@
         if made.baton > self.token:
             return None
         received = self.clock.at
+        known = self.machine()
         machine = self.fleet.accept_report(made)
         if machine is None:
-            return None
+            if known is not None and self.fleet.has_seen_token(known):
+                return None
+            return {"baton": self.token, "tenure": made.tenure, "orders": []}
         for key, attempt in list(machine.attempts.items()):
             entry = machine.tasks.get(key)
             if entry is None:
@@ -131,9 +157,8 @@
             ):
                 self.absent(machine, attempt)
         machine.answered_at = self.clock.at
-        found = orders(
-            machine, [], self.clock, launches=not machine.response_tracker.responses_lost
-        )
+        launches = self.fleet.may_launch(machine)
+        found = orders(machine, [], self.clock, launches=launches)
         machine.response_tracker.on_response_sent((made.tenure, made.seq), received, self.clock.at)
         return {"baton": self.token, "tenure": made.tenure, "orders": found}
 
@@ -207,7 +232,7 @@
             assert self.present.get(key, "ended") == "ended", f"{key} is called absent and runs"
 
 
-def _run_random_steps(seed: int, steps: int = 400) -> None:
+def _run_random_steps(seed: int, restarts: bool, steps: int = 400) -> None:
     """Runs random steps like hypothesis, with more of the relevant ones and no shrinking."""
     rng, model = random.Random(seed), ProtocolModel()
     parted = False  # the worker reaches only the last leader; the next one gets copies
@@ -232,6 +257,8 @@
             model.sweep()
         elif kind < 0.94 and model.job.live:
             model.stop(rng.randrange(30))
+        elif kind < 0.95 and restarts:
+            model.worker_restarts(rng.random() < 0.3)
         elif kind > 0.97 and model.baton == model.token:
             model.lead()
             parted = rng.random() < 0.5
@@ -265,10 +292,37 @@
         model.what_is_called_absent_is_absent()
 
 
+def _run_restarts(seed: int, rounds: int = 20) -> None:
+    """A worker is back at once, and copies of its old reports come around a start command."""
+    rng, model = random.Random(seed), ProtocolModel()
+    for _ in range(rounds):
+        for _ in range(rng.randrange(4)):
+            model.report("fine")
+        model.lead()
+        if rng.random() < 0.7:
+            model.worker_restarts(rng.random() < 0.2)
+        model.report(rng.choice(["fine", "unheard"]))
+        for _ in range(rng.randrange(2, 7)):
+            model.report("fine" if rng.random() < 0.8 else rng.choice(FATES))
+            if model.machine() is not None and len(model.job.waiting):
+                model.place()
+            if rng.random() < 0.5 and model.job.live:
+                model.stop(rng.randrange(30))
+            if rng.random() < 0.5:
+                model.a_copy_comes(rng.randrange(8))
+            model.what_is_called_absent_is_absent()
+            model.time_passes(rng.choice([0.5, 3.0, 4.5]))
+            if model.machine() is not None:
+                model.sweep()
+            model.what_is_called_absent_is_absent()
+
+
 def _run() -> None:
     for seed in range(40):
-        _run_random_steps(seed)
+        _run_random_steps(seed, restarts=False)
+        _run_random_steps(seed, restarts=True)
         _run_failures(seed)
+        _run_restarts(seed)
 
 
 def test_attempts_called_absent_are_absent_whatever_copies_arrive() -> None:
@@ -279,15 +333,7 @@
 
 def _by_arrival(patch: pytest.MonkeyPatch) -> None:
     """Accepts reports in the order of arrival."""
-    original = Fleet.accept_report
-
-    def take(self: Fleet, report: Report, size: int = 0) -> Machine | None:
-        machine = self.machines.get(report.host)
-        if machine is not None and (report.tenure, report.seq) < (machine.tenure, machine.seq):
-            machine.tenure, machine.seq = 0, 0
-        return original(self, report, size)
-
-    patch.setattr(Fleet, "accept_report", take)
+    patch.setattr(Fleet, "_is_newer", lambda self, report, machine: True)
 
 
 def _absence_by_any_report(patch: pytest.MonkeyPatch) -> None:
@@ -304,13 +350,37 @@
     patch.setattr(Fleet, "is_lease_over", Fleet.is_own_lease_over)
 
 
+def _by_numbers_alone(patch: pytest.MonkeyPatch) -> None:
+    """Takes a copy from before a worker's restart for newer, as its numbers are higher."""
+
+    def is_newer(self: Fleet, report: Report, machine: Machine) -> bool:
+        return (report.tenure, report.seq) > (machine.tenure, machine.seq)
+
+    patch.setattr(Fleet, "_is_newer", is_newer)
+
+
+def _launches_before_the_token(patch: pytest.MonkeyPatch) -> None:
+    """Launches in the answer to a report without this term's token."""
+    patch.setattr(
+        Fleet, "may_launch", lambda self, machine: not machine.response_tracker.responses_lost
+    )
+
+
 def _any_end_is_believed(patch: pytest.MonkeyPatch) -> None:
     """Takes an end from an earlier session for the end of the attempt."""
     patch.setattr(Fleet, "is_surely_ended", lambda self, machine, attempt, cause: True)
 
 
 @pytest.mark.parametrize(
-    "bug", [_by_arrival, _absence_by_any_report, _lease_by_any_token, _any_end_is_believed]
+    "bug",
+    [
+        _by_arrival,
+        _by_numbers_alone,
+        _launches_before_the_token,
+        _absence_by_any_report,
+        _lease_by_any_token,
+        _any_end_is_believed,
+    ],
 )
 def test_weaker_proofs_of_absence_are_found(
     bug: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
@@ -319,3 +389,26 @@
     bug(monkeypatch)
     with pytest.raises(AssertionError, match="called absent"):
         _run()
+
+
+def test_reports_that_are_held_over_a_restart_prove_nothing() -> None:
+    """Guards against a worker's report of before its restart, under one leader, that comes late.
+
+    The leader got none of the reports that had its token from before the restart.
+    """
+    model = ProtocolModel()
+    model.report("fine")
+    for _ in range(9):
+        model.report("lost")
+        model.time_passes(5.0)
+        held = model.sent[-1]
+        assert held.baton == model.token
+    model.worker_restarts(False)
+    model.report("fine")
+    model.report("fine")
+    model.place()
+    model.report("fine")
+    assert model.present
+    model.stop(0)
+    model.handle_report(held)
+    model.what_is_called_absent_is_absent()
