Replicas of a service end never, for reservations too

A machine whose room never comes free by itself is not reserved; work is still preempted there as before.

--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -450,10 +450,9 @@
                 boot = left
             capacity = MachineCapacity(pool, machine.free(flavor.resources), boot)
             for attempt in machine.attempts.values():
-                spec = attempt.job.spec
-                service = spec.shape == "service"
-                ends[attempt] = NEVER if service else self.queues.remaining_run_s(attempt, now)
-                if not service:
-                    capacity.releases.append((ends[attempt], machine_demand(spec)))
+                ends[attempt] = self.queues.remaining_run_s(attempt, now)
+                if ends[attempt] < NEVER:
+                    released = machine_demand(attempt.job.spec)
+                    capacity.releases.append((ends[attempt], released))
             out.append(capacity)
         return out, ends
--- a/src/chalkgrade/sharing/constraints.py
+++ b/src/chalkgrade/sharing/constraints.py
@@ -64,23 +64,16 @@
         self._reserved_urgency: dict[str, int] = {}
         # Team -> what its maximum leaves once the tasks that end soon have ended.
         self._available_soon: dict[str, Vector] = {}
-        # Team -> the part of its usage that services hold.
-        self._service_usage: dict[str, Vector] = defaultdict(lambda: ZERO)
 
     def begin_round(self, jobs: Iterable[Job], now: float) -> None:
         """Start a round: sum up each team's usage from the live attempts of its jobs."""
         self.usage.clear()
         self._reserved_urgency.clear()
         self._available_soon.clear()
-        self._service_usage.clear()
         for job in jobs:
             if job.live:
                 job_usage = tuple(a * len(job.live) for a in job.spec.resources)
                 self.usage[job.spec.owner] = plus(self.usage[job.spec.owner], job_usage)
-                if job.spec.shape == "service":
-                    self._service_usage[job.spec.owner] = plus(
-                        self._service_usage[job.spec.owner], job_usage
-                    )
 
     def is_ready(self, job: Job) -> bool:
         """Whether the job's team is configured."""
@@ -128,12 +121,8 @@
             return
         if spec.owner not in self._available_soon:
             unused = minus(self.limit(spec.owner), self.usage[spec.owner])
-            unused = plus(
-                unused, stops.resources_ending(spec.owner, constants.UNUSED_MAXIMUM_HORIZON_S)
-            )
-            # Replicas of a service end when they are cancelled, not after their run time.
-            most = minus(self.limit(spec.owner), self._service_usage[spec.owner])
-            self._available_soon[spec.owner] = tuple(map(min, unused, most))
+            ending = stops.resources_ending(spec.owner, constants.UNUSED_MAXIMUM_HORIZON_S)
+            self._available_soon[spec.owner] = plus(unused, ending)
         if fits(spec.resources, self._available_soon[spec.owner]):
             self._reserved_urgency[spec.owner] = spec.urgency_rank
         if not stops.preempt:
--- a/src/chalkgrade/sharing/preemption.py
+++ b/src/chalkgrade/sharing/preemption.py
@@ -35,7 +35,8 @@
     rows: dict[str, list[tuple[float, Vector]]] = defaultdict(list)
     for slot in slots:
         for occupant in slot.occupants:
-            rows[occupant.owner].append((occupant.remaining_s, occupant.resources))
+            if occupant.remaining_s < math.inf:
+                rows[occupant.owner].append((occupant.remaining_s, occupant.resources))
     out: dict[str, tuple[list[float], list[Vector]]] = {}
     for owner, ends in rows.items():
         ends.sort()
@@ -182,20 +183,20 @@
 
             return sorted(soonest, key=lambda entry: not is_recent_choice(entry))
 
-        for slot in self._reserve_slots(job, count, constants.STARVATION_RESERVE_RATIO, order):
-            self.snapshot.fleet.machines[slot.name].kept_for_queue = (job.round_queue, now)
+        kept = self._reserve_slots(job, count, constants.STARVATION_RESERVE_RATIO, order)
+        for wait_s, slot in kept:
+            if wait_s < math.inf:
+                self.snapshot.fleet.machines[slot.name].kept_for_queue = (job.round_queue, now)
 
     def reserve_soonest(self, job: Job, count: int, part: float) -> list[float]:
         """Reserve the machines that have room soonest; return the seconds until each has it.
 
         `count` is the number of tasks. At most `part` of all machines are reserved at a time, for
-        all jobs together.
+        all jobs together. Where nothing ends by itself, the wait is `math.inf`, and nothing is
+        reserved.
         """
         kept = self._reserve_slots(job, count, part, lambda: self.snapshot.suitable_slots(job.spec))
-        names = {slot.name for slot in kept}
-        if not names:
-            return []  # the common case, which need not iterate over the machines
-        return [wait for wait, name, _ in self.snapshot.suitable_slots(job.spec) if name in names]
+        return [wait_s for wait_s, _ in kept]
 
     def _reserve_slots(
         self,
@@ -203,8 +204,13 @@
         count: int,
         part: float,
         order: Callable[[], Iterable[tuple[float, str, Slot]]],
-    ) -> list[Slot]:
-        """Reserve slots for a job; `order` lists them and is called only if any may be reserved."""
+    ) -> list[tuple[float, Slot]]:
+        """Choose slots for a job, and reserve those that will have room for it by themselves.
+
+        Returns them with the seconds until they do; `math.inf` where replicas of services hold the
+        room, which would be kept from all others for nothing. `order` lists the slots and is called
+        only if any may be reserved.
+        """
         spec = job.spec
         if not any(
             fits(room, spec.resources) and room != spec.resources for room in self.startable_rooms
@@ -214,14 +220,15 @@
         machine_total = len(self.snapshot.slots) + len(self.snapshot.full_machines)
         max_slots = math.ceil(machine_total * part) - self.reservations.reserved_machines
         max_slots = self.constraints.max_demand(job, min(count, max_slots))
-        out: list[Slot] = []
-        for _, _, slot in order() if max_slots > 0 else ():
+        out: list[tuple[float, Slot]] = []
+        for wait_s, _, slot in order() if max_slots > 0 else ():
             if len(out) >= max_slots:
                 break
             # The wait ignores tasks placed on the slot in this round, so that it is not free soon.
             if not slot.reserved_for and slot.site in zones and not slot.was_placed_on:
-                out.append(slot)
-                self.reservations.reserve_slot(job, slot)
+                out.append((wait_s, slot))
+                if wait_s < math.inf:
+                    self.reservations.reserve_slot(job, slot)
         return out
 
     def reclaim_borrowed(self, jobs: list[Job]) -> None:
--- a/src/chalkgrade/sharing/queues.py
+++ b/src/chalkgrade/sharing/queues.py
@@ -204,8 +204,11 @@
     def remaining_run_s(self, attempt: Attempt, now: float) -> float:
         """How many seconds an attempt will still run, including its image fetch.
 
+        A replica of a service ends when its job is cancelled, not by itself: `math.inf`.
         An overdue attempt is expected to run for `OVERDUE_RATIO` of the time it has run so far.
         """
+        if attempt.job.spec.shape == "service":
+            return math.inf
         run_s = self.expected_run_s(attempt.job)
         if not attempt.running_since:
             elapsed_s = now - attempt.placed_at if attempt.placed_at else 0.0
--- a/tests/test_held_back.py
+++ b/tests/test_held_back.py
@@ -11,10 +11,11 @@
 
 from chalkgrade import constants
 from chalkgrade.extensions.constraints import Preemption
-from chalkgrade.record.jobs import Job
+from chalkgrade.record.jobs import Attempt, Job
 from chalkgrade.region.rules import Broken
 from chalkgrade.region.world import World, tell
 from chalkgrade.sharing.constraints import TeamLimits
+from chalkgrade.sharing.queues import Queues
 from test_gap import _long_job
 from test_membership import _acting_leader, _wait_until
 
@@ -137,3 +138,49 @@
     took: list[float] = []
     tell(story, 2, loss=0.0)
     assert (took[0] < 45.0) != bug, took
+
+
+class OneLargeMachine(World):
+    """A region in which nothing but one large machine is to be had."""
+
+    ROOMS = {("large", "a", False): 1}
+    TEAMS = ({"name": "red", "cpus": 16, "cpus_max": 0}, {"name": "blue", "cpus": 4, "cpus_max": 0})
+
+
+def _replicas_seem_to_end(patch: Patch) -> None:
+    """Expect replicas of a service to end like other tasks that are overdue."""
+    plain = Queues.remaining_run_s
+
+    def remaining_run_s(self: Queues, attempt: Attempt, now: float) -> float:
+        run_so_far_s = now - (attempt.running_since or now)
+        return min(plain(self, attempt, now), constants.OVERDUE_RATIO * run_so_far_s)
+
+    patch.setattr(Queues, "remaining_run_s", remaining_run_s)
+
+
+@pytest.mark.parametrize("bug", [False, True])
+def test_room_beside_a_service_is_not_kept_for_a_task_that_it_never_fits(
+    bug: bool, monkeypatch: Patch
+) -> None:
+    """Guards against room that is kept for a wide task until a replica ends (review/3)."""
+    if bug:
+        _replicas_seem_to_end(monkeypatch)
+
+    async def story(world: World) -> None:
+        plain = {"site": None, "hosttypes": None, "oneZone": False, "standby": False}
+        service = plain | {"shape": "service", "expectedS": 0.0, "owner": "blue"}
+        world.spawn(world.user(_long_job(1, 1) | service, None))
+        await _wait_until(world, 60.0, lambda: world.present())
+        wide = plain | {"vcpus": 16.0, "owner": "red", "urgency": "high", "expectedS": 30.0}
+        world.spawn(world.user(_long_job(2, 1) | wide, None))
+        await asyncio.sleep(5.0)
+        small = _long_job(3, 2) | plain | {"owner": "blue", "expectedS": 10.0}
+        world.spawn(world.user(small | {"urgency": "standard"}, None))
+        await _run_for(world, 110.0)
+        assert world.jobs["run-000003"]["over"] == "done"
+
+    if bug:
+        with pytest.raises(Broken, match="idle_room"):
+            tell(story, 1, loss=0.0, kind=OneLargeMachine)
+    else:
+        tell(story, 1, loss=0.0, kind=OneLargeMachine)
