--- a/src/chalkgrade/renting/plan.py
+++ b/src/chalkgrade/renting/plan.py
@@ -10,8 +10,10 @@
 from chalkgrade.record.jobs import JobSpec
 from chalkgrade.renting.boot_times import BootTimes
 from chalkgrade.renting.headroom import NEVER, Headroom
+from chalkgrade.renting.machine_timeline import MachineCapacity
 from chalkgrade.renting.report import PlanReport
-from chalkgrade.renting.room import FleetRoom, MachineCapacity, Opening, ZoneLimits
+from chalkgrade.renting.room import FleetRoom, Opening
+from chalkgrade.renting.zone_limits import ZoneLimits
 from chalkgrade.vectors import Vector
 
 
--- a/src/chalkgrade/renting/renter.py
+++ b/src/chalkgrade/renting/renter.py
@@ -22,10 +22,10 @@
 from chalkgrade.renting.boot_times import BootTimes
 from chalkgrade.renting.cloud import CloudClient, RentalRefusedError
 from chalkgrade.renting.headroom import NEVER
+from chalkgrade.renting.machine_timeline import MachineCapacity
 from chalkgrade.renting.needs import WaitingWork
 from chalkgrade.renting.plan import RentalNeed, plan_rentals
 from chalkgrade.renting.report import PlanReport
-from chalkgrade.renting.room import MachineCapacity
 from chalkgrade.sharing.term_context import TermContext
 
 log = logging.getLogger("chalkgrade.renting")
--- a/src/chalkgrade/renting/room.py
+++ b/src/chalkgrade/renting/room.py
@@ -1,154 +1,20 @@
-"""What is free on which machine and when, as a rental plan counts it. Pure.
+"""The machines of a rental plan, and where tasks can start first. Pure.
 
-Amounts are those of `machine_demand`, and a task fits where placement would place it: on one
-machine, with all that it takes. A plan that added up the CPUs of several machines, or looked at
-CPUs alone, would wait for room that no task can use, and rent nothing.
+A task fits where placement would place it: on one machine, with all that it takes. A plan that
+added up the CPUs of several machines, or looked at CPUs alone, would wait for room that no task can
+use, and rent nothing.
 """
 
 import bisect
 import heapq
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 
 from chalkgrade.machines.flavors import Pool
-from chalkgrade.record.jobs import TASKS_MAX
 from chalkgrade.renting.headroom import NEVER, round_up_to_step
-from chalkgrade.vectors import CPUS, EPS, Vector, count_fitting, fits, minus, plus
-
-
-@dataclass
-class MachineCapacity:
-    """A machine that is up or booting, with what is free there; times are in s from now."""
-
-    pool: Pool
-    free: Vector  # beside the attempts that it has
-    up_in_s: float = 0.0
-    # When which of the attempts' amounts are released; those that never end are left out.
-    releases: list[tuple[float, Vector]] = field(default_factory=list)
-
-
-class MachineTimeline:
-    """What is free on one machine from which time on; never less later than earlier."""
-
-    __slots__ = ("pool", "version", "_capacity", "_known_steps")
-
-    def __init__(self, capacity: MachineCapacity) -> None:
-        self.pool = capacity.pool
-        self.version = 0  # number of changes
-        self._capacity = capacity
-        self._known_steps: list[tuple[float, Vector]] | None = None
-
-    @property
-    def _steps(self) -> list[tuple[float, Vector]]:
-        """What is free from which time on, computed when first asked for."""
-        if self._known_steps is None:
-            up_in_s = round_up_to_step(self._capacity.up_in_s)
-            steps = [(up_in_s, self._capacity.free)]
-            for released_in_s, amount in sorted(self._capacity.releases):
-                at, free = steps[-1]
-                step = max(up_in_s, round_up_to_step(released_in_s))
-                if step == at:
-                    steps[-1] = at, plus(free, amount)
-                else:
-                    steps.append((step, plus(free, amount)))
-            self._known_steps = steps
-        return self._known_steps
-
-    def earliest_fit_bound(self, demand: Vector) -> float:
-        """Return a time before which no task fits, at little cost for an unchanged machine."""
-        if self._known_steps is not None:
-            return self.earliest_fit(demand)
-        capacity = self._capacity
-        if capacity.free[CPUS] >= demand[CPUS] - EPS:
-            return round_up_to_step(capacity.up_in_s)
-        first_release_s = min((at for at, _ in capacity.releases), default=NEVER)
-        return round_up_to_step(max(capacity.up_in_s, first_release_s))
-
-    def earliest_fit(self, demand: Vector) -> float:
-        """Return from when on one more task fits, `NEVER` if it never does."""
-        cpus = demand[CPUS] - EPS
-        for at, free in self._steps:
-            # Most steps of a full machine lack CPUs, which is found without a call.
-            if free[CPUS] >= cpus and fits(demand, free):
-                return at
-        return NEVER
-
-    def times(self) -> Iterator[float]:
-        """Yield the times at which more becomes free."""
-        return (at for at, _ in self._steps)
-
-    def fitting_tasks(self, demand: Vector, at: float) -> int:
-        """Return how many tasks fit at a time."""
-        free = self._free_at(at)
-        return 0 if free is None else count_fitting(demand, free, TASKS_MAX)
-
-    def _free_at(self, at: float) -> Vector | None:
-        found = None
-        for step, free in self._steps:
-            if step > at + EPS:
-                break
-            found = free
-        return found
-
-    def take(self, amount: Vector, start: float, end: float) -> None:
-        """Use an amount that is free at `start` until `end`, or for ever if that is `NEVER`.
-
-        What would be left over at `start` stays free before it.
-        """
-        free_at_start = self._free_at(start)
-        assert free_at_start is not None
-        left = minus(free_at_start, amount)
-        steps: list[tuple[float, Vector]] = []
-        for at, free in self._steps_with(end):
-            if at < start:
-                free = tuple(map(min, free, left))
-            elif at < end:
-                free = minus(free, amount)
-            if not steps or free != steps[-1][1]:
-                steps.append((at, free))
-        self._known_steps = steps
-        self.version += 1
-
-    def _steps_with(self, end: float) -> Iterator[tuple[float, Vector]]:
-        """Yield the steps, with one at `end` unless that is `NEVER`."""
-        has_end = end == NEVER
-        free_before = self._steps[0][1]
-        for at, free in self._steps:
-            if not has_end and at >= end:
-                has_end = True
-                if at > end:
-                    yield end, free_before
-            yield at, free
-            free_before = free
-        if not has_end:
-            yield end, free_before
-
-
-class ZoneLimits:
-    """How many more tasks of a job may run at once in each zone; unlimited if not given."""
-
-    def __init__(self, limits: Mapping[str, int]) -> None:
-        self._limits = dict(limits)
-
-    def copy(self) -> "ZoneLimits":
-        """Return a copy, to use up separately."""
-        return ZoneLimits(self._limits)
-
-    def most(self, pool: Pool, tasks: int) -> int:
-        """Return how many of so many tasks may start in the pool's zone."""
-        return min(tasks, self._limits.get(pool[1], tasks))
-
-    def use(self, pool: Pool, tasks: int) -> None:
-        """Count tasks that start in the pool's zone."""
-        if pool[1] in self._limits:
-            self._limits[pool[1]] -= tasks
-
-    def count(self, counts: Iterable[tuple[Pool, int]]) -> int:
-        """Return how many tasks may start at once where so many fit in each pool."""
-        by_zone: dict[str, int] = {}
-        for (_, zone, _), tasks in counts:
-            by_zone[zone] = by_zone.get(zone, 0) + tasks
-        return sum(min(tasks, self._limits.get(zone, tasks)) for zone, tasks in by_zone.items())
+from chalkgrade.renting.machine_timeline import MachineCapacity, MachineTimeline
+from chalkgrade.renting.zone_limits import ZoneLimits
+from chalkgrade.vectors import Vector
 
 
 @dataclass
@@ -264,10 +130,10 @@
         limits = zones.copy()
         openings: list[Opening] = []
         for pool, fit in first_fits:
-            shares = queues[pool].shares(fit, limits.most(pool, most))
-            openings.append(Opening(pool, start, shares))
-            limits.use(pool, openings[-1].tasks)
-            most -= openings[-1].tasks
+            opening = Opening(pool, start, queues[pool].shares(fit, limits.most(pool, most)))
+            openings.append(opening)
+            limits.use(pool, opening.tasks)
+            most -= opening.tasks
         return openings
 
     def earliest_together(
@@ -301,6 +167,7 @@
     def _openings_together(
         self, pools: Iterable[Pool], demand: Vector, tasks: int, zones: ZoneLimits, start: float
     ) -> list[Opening]:
+        """Return where `tasks` tasks can start at a time at which they all fit."""
         openings: list[Opening] = []
         limits = zones.copy()
         for pool in pools:
@@ -337,7 +204,10 @@
         return counts[demand]
 
     def delay(self, pools: Iterable[Pool], demand: Vector, tasks: int, run_s: float) -> None:
-        """Delay all machines of these pools equally by runs of tasks that are spread over them."""
+        """Delay all machines of these pools equally by runs of tasks that are spread over them.
+
+        No machine may be added to them afterwards.
+        """
         wanted = list(pools)
         total = sum(self._count_finally(pool, demand) for pool in wanted)
         if not total:
--- a/tests/test_placement_rentals.py
+++ b/tests/test_placement_rentals.py
@@ -22,8 +22,9 @@
     select_victims,
 )
 from chalkgrade.record.jobs import JobSpec
+from chalkgrade.renting.machine_timeline import MachineCapacity, MachineTimeline
 from chalkgrade.renting.plan import RentalNeed, plan_rentals
-from chalkgrade.renting.room import FleetRoom, MachineCapacity, MachineTimeline
+from chalkgrade.renting.room import FleetRoom
 
 SMALL = Flavor("small", 4, 16, ["a", "b"], hourly=0.3, spotPrice=0.1, bootS=30)
 LARGE = Flavor("large", 64, 256, ["a"], hourly=5.0, spotPrice=1.6, bootS=40)
--- a/tests/test_rental_room.py
+++ b/tests/test_rental_room.py
@@ -16,8 +16,9 @@
 from chalkgrade.record.jobs import JobSpec
 from chalkgrade.region.world import World, tell
 from chalkgrade.renting.headroom import NEVER
+from chalkgrade.renting.machine_timeline import MachineCapacity, MachineTimeline
 from chalkgrade.renting.plan import RentalNeed, plan_rentals
-from chalkgrade.renting.room import MachineCapacity, MachineTimeline, ZoneLimits
+from chalkgrade.renting.zone_limits import ZoneLimits
 from chalkgrade.vectors import Vector, count_fitting, minus, plus
 from test_membership import _wait_until
 from test_placement_rentals import spec
--- a/tests/test_team_at_its_maximum.py
+++ b/tests/test_team_at_its_maximum.py
@@ -24,9 +24,9 @@
 
 from chalkgrade.machines.placement import Occupant, Slot, select_victims
 from chalkgrade.renting.headroom import NEVER, CapacityTimeline, Headroom
+from chalkgrade.renting.machine_timeline import MachineCapacity
 from chalkgrade.renting.plan import RentalNeed, plan_rentals
 from chalkgrade.renting.report import PlanReport
-from chalkgrade.renting.room import MachineCapacity
 from chalkgrade.sharing.preemption import Preemptor
 from test_halves import _play, _sixfold
 from test_placement_rentals import FLAVORS, spec
